--- /dev/null
+++ b/conf/document.go
@@ -0,0 +1,174 @@
+package conf
+
+import (
+	"net/netip"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// Document is the configuration that operators publish. It takes effect as a whole.
+type Document struct {
+	Version        uint64          `json:"Version"`
+	Preset         string          `json:"Preset"`
+	Presets        []Preset        `json:"Presets"`
+	FailureDomains []FailureDomain `json:"FailureDomains"`
+	Callers        []Caller        `json:"Callers"`
+	Services       []Service       `json:"Services"`
+}
+
+// Preset is a named set of policy parameters. Exactly one is in force: the one that
+// Document.Preset names.
+type Preset struct {
+	Name string `json:"Name"`
+	// HedgeBudget is the share of extra shard requests that hedging may send, 0.02 for 2%.
+	HedgeBudget float64 `json:"HedgeBudget"`
+	// RetryBudget is the share of requests that may be retries.
+	RetryBudget float64 `json:"RetryBudget"`
+	// Worth multiplies the worth of request kinds; a kind that is absent keeps its own.
+	Worth map[string]float64 `json:"Worth,omitempty"`
+	// QueueLimit is the number of requests that a home queues for a slice.
+	QueueLimit int `json:"QueueLimit"`
+}
+
+// DomainState tells whether operators have taken a failure domain out.
+type DomainState string
+
+// States of a failure domain.
+const (
+	DomainIn  DomainState = "In"
+	DomainOut DomainState = "Out"
+)
+
+// FailureDomain is a group of VMs that may fail or be taken out together.
+type FailureDomain struct {
+	Name   string      `json:"Name"`
+	Region string      `json:"Region"`
+	State  DomainState `json:"State"`
+}
+
+// Caller is a client of the system with the services that it may reach.
+type Caller struct {
+	Name string `json:"Name"`
+	// KeyHashes are hex SHA-256 hashes of the caller's keys; several allow rotation.
+	KeyHashes []string `json:"KeyHashes"`
+	// Services are names of services; "*" allows all.
+	Services []string `json:"Services"`
+}
+
+// Allows reports whether the caller may reach the service.
+func (c Caller) Allows(service string) bool {
+	for _, s := range c.Services {
+		if s == service || s == "*" {
+			return true
+		}
+	}
+	return false
+}
+
+// Service is a searchable set of shards with its backend servers.
+type Service struct {
+	Name string `json:"Name"`
+	// Slices is the number of parts whose permits are held separately; 0 means 1.
+	Slices int `json:"Slices,omitempty"`
+	// HomeSeats is the number of lease seats of a slice: 1, or 3 when it is 0.
+	HomeSeats int `json:"HomeSeats,omitempty"`
+	// HomeDomains are the failure domains that hold the seats; empty means all.
+	HomeDomains []string        `json:"HomeDomains,omitempty"`
+	Kinds       []Kind          `json:"Kinds"`
+	Servers     []BackendServer `json:"Servers"`
+	// Indexes are the published versions, newest first.
+	Indexes []Index `json:"Indexes"`
+}
+
+// Kind is a kind of request of a service.
+type Kind struct {
+	Name  string  `json:"Name"`
+	Worth float64 `json:"Worth"`
+	// MinCoverage is the least share of shards that an answer must cover, between 0 and 1.
+	MinCoverage float64 `json:"MinCoverage"`
+	Idempotent  bool    `json:"Idempotent"`
+	// MaxTimeout is the longest time that a request may take, and the default.
+	MaxTimeout wire.Duration `json:"MaxTimeout"`
+}
+
+// BackendServer is one server with its limits.
+type BackendServer struct {
+	Address       netip.AddrPort `json:"Address"`
+	FailureDomain string         `json:"FailureDomain"`
+	// Slots is the number of requests that a warm server runs at once.
+	Slots int `json:"Slots"`
+	// ColdSlots is the number of requests that a server in a cold start bears at once.
+	ColdSlots int `json:"ColdSlots"`
+	// Slice is the number of the slice to which the server belongs, below Service.Slices.
+	Slice int `json:"Slice,omitempty"`
+	// Connections is the most connections that the server accepts.
+	Connections int `json:"Connections"`
+}
+
+// Index is one version of a service's index with its partitioning.
+type Index struct {
+	Version string  `json:"Version"`
+	Shards  []Shard `json:"Shards"`
+}
+
+// Shard is one part of an index with the servers that hold a replica of it.
+type Shard struct {
+	Name    string           `json:"Name"`
+	Servers []netip.AddrPort `json:"Servers"`
+}
+
+// Service returns the service of that name, or nil.
+func (d *Document) Service(name string) *Service {
+	for i := range d.Services {
+		if d.Services[i].Name == name {
+			return &d.Services[i]
+		}
+	}
+	return nil
+}
+
+// InForce returns the preset in force. Check guarantees that it exists.
+func (d *Document) InForce() Preset {
+	for _, p := range d.Presets {
+		if p.Name == d.Preset {
+			return p
+		}
+	}
+	return Preset{}
+}
+
+// DomainIn reports whether the failure domain is known and not taken out.
+func (d *Document) DomainIn(name string) bool {
+	for _, f := range d.FailureDomains {
+		if f.Name == name {
+			return f.State == DomainIn
+		}
+	}
+	return false
+}
+
+// Kind returns the kind of that name, or nil.
+func (s *Service) Kind(name string) *Kind {
+	for i := range s.Kinds {
+		if s.Kinds[i].Name == name {
+			return &s.Kinds[i]
+		}
+	}
+	return nil
+}
+
+// SliceCount returns the number of slices, at least 1.
+func (s *Service) SliceCount() int {
+	return max(1, s.Slices)
+}
+
+// SeatCount returns the number of lease seats of a slice.
+func (s *Service) SeatCount() int {
+	if s.HomeSeats == 0 {
+		return DefaultHomeSeats
+	}
+	return s.HomeSeats
+}
+
+// DefaultHomeSeats lets one seat be lost while a majority of two remains.
+const DefaultHomeSeats = 3
--- /dev/null
+++ b/wire/backend.go
@@ -0,0 +1,91 @@
+package wire
+
+import "encoding/json"
+
+// Header names of requests to backend servers. The deadline is RFC 3339 with nanoseconds, UTC.
+const (
+	HeaderRequestID = "Request-Id"
+	HeaderDeadline  = "Deadline"
+)
+
+// ShardQuery is the body of a query to one shard on a backend server.
+type ShardQuery struct {
+	RequestID    string `json:"RequestId"`
+	Service      string `json:"Service"`
+	Shard        string `json:"Shard"`
+	IndexVersion string `json:"IndexVersion"`
+	Kind         string `json:"Kind"`
+	Query        string `json:"Query"`
+	TopK         int    `json:"TopK"`
+}
+
+// ShardAnswer is a backend server's answer for one shard. Complete is the last field, so a
+// truncated body never has it.
+type ShardAnswer struct {
+	RequestID    string `json:"RequestId"`
+	Shard        string `json:"Shard"`
+	IndexVersion string `json:"IndexVersion"`
+	Incarnation  string `json:"Incarnation"`
+	Warm         bool   `json:"Warm"`
+	Draining     bool   `json:"Draining"`
+	Hits         []Hit  `json:"Hits"`
+	Total        int64  `json:"Total"`
+	Complete     bool   `json:"Complete"`
+}
+
+// BackendOrder is the body of an order to a backend server.
+type BackendOrder struct {
+	Key     string          `json:"Key"`
+	Service string          `json:"Service"`
+	Shard   string          `json:"Shard"`
+	Kind    string          `json:"Kind"`
+	Body    json.RawMessage `json:"Body"`
+}
+
+// BackendOrderAnswer is a backend server's answer to an order.
+type BackendOrderAnswer struct {
+	Key         string          `json:"Key"`
+	Incarnation string          `json:"Incarnation"`
+	Warm        bool            `json:"Warm"`
+	Draining    bool            `json:"Draining"`
+	Result      json.RawMessage `json:"Result"`
+	Complete    bool            `json:"Complete"`
+}
+
+// BackendReason is why a backend server did not run a request.
+type BackendReason string
+
+// Reasons that backend servers give.
+const (
+	BackendShed       BackendReason = "Shed"
+	BackendDraining   BackendReason = "Draining"
+	BackendVersion    BackendReason = "Version"
+	BackendDeadline   BackendReason = "Deadline"
+	BackendCold       BackendReason = "Cold"
+	BackendBadRequest BackendReason = "BadRequest"
+)
+
+// BackendFailure is the error body of a backend server.
+type BackendFailure struct {
+	NotRun       bool          `json:"NotRun"`
+	Reason       BackendReason `json:"Reason"`
+	IndexVersion string        `json:"IndexVersion,omitempty"`
+	Incarnation  string        `json:"Incarnation,omitempty"`
+}
+
+// ServerState is what a health or load endpoint reports. It may lag or mislead.
+type ServerState string
+
+// States that health and load endpoints report.
+const (
+	ServerReady    ServerState = "Ready"
+	ServerCold     ServerState = "Cold"
+	ServerDraining ServerState = "Draining"
+)
+
+// Health is the body of the health and load endpoints. Load is between 0 and 1.
+type Health struct {
+	State       ServerState `json:"State"`
+	Load        float64     `json:"Load"`
+	Incarnation string      `json:"Incarnation,omitempty"`
+}
