Add the backend server client

Cause: the scheduler needs single attempts whose result tells what may have reached a server, under an exact cap on connections.

Change: package back with a pool of HTTP/1.1 connections for each server. Request.Write and ReadResponse of net/http do the protocol; a request is one write, so "no byte was written" is known. A retired connection counts until the server has closed it.

--- /dev/null
+++ b/back/bench_test.go
@@ -0,0 +1,155 @@
+package back
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+const (
+	benchServers = 10
+	benchShards  = 140
+	benchConns   = 25
+)
+
+var benchQuery = wire.ShardQuery{
+	RequestID: "q-1", Service: "festival-board", Shard: "s-1", IndexVersion: "v1", Kind: "lookup",
+	Query: "clogs size 24", TopK: 10,
+}
+
+// cannedServer answers each request with the same bytes and almost no CPU of its own, so that the
+// figures show the client.
+func cannedServer(b *testing.B) netip.AddrPort {
+	a := answerTo(benchQuery)
+	for range benchQuery.TopK {
+		a.Hits = append(a.Hits, wire.Hit{ID: "order-4711", Score: 0.5, Fields: json.RawMessage(`{"Workshop":"Lukang"}`)})
+	}
+	body, _ := json.Marshal(a)
+	var head bytes.Buffer
+	_ = (&http.Response{
+		StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(body)),
+		Header: http.Header{"Content-Type": {"application/json"}}, Body: io.NopCloser(bytes.NewReader(body)),
+	}).Write(&head)
+	return listen(b, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for {
+			size := 0
+			for {
+				line, err := r.ReadSlice('\n')
+				if err != nil {
+					return
+				}
+				if v, ok := bytes.CutPrefix(line, []byte("Content-Length: ")); ok {
+					for _, d := range bytes.TrimSpace(v) {
+						size = size*10 + int(d-'0')
+					}
+				}
+				if len(line) <= 2 {
+					break
+				}
+			}
+			if _, err := r.Discard(size); err != nil {
+				return
+			}
+			if _, err := c.Write(head.Bytes()); err != nil {
+				return
+			}
+		}
+	})
+}
+
+// fanOut runs b.N shard requests in scatters of 140 and reports requests per second and CPU time
+// per request, which includes the same canned servers for each client.
+func fanOut(
+	b *testing.B, servers []netip.AddrPort,
+	one func(ctx context.Context, server netip.AddrPort, deadline time.Time) bool,
+) {
+	b.ReportAllocs()
+	b.ResetTimer()
+	begin, cpu := time.Now(), cpuTime()
+	for done := 0; done < b.N; done += benchShards {
+		ctx, cancel := context.WithCancel(context.Background())
+		deadline := time.Now().Add(5 * time.Second)
+		var g sync.WaitGroup
+		for i := range min(benchShards, b.N-done) {
+			g.Go(func() {
+				if !one(ctx, servers[i%benchServers], deadline) {
+					b.Error("request failed")
+				}
+			})
+		}
+		g.Wait()
+		cancel()
+	}
+	n := float64(b.N)
+	b.ReportMetric(n/time.Since(begin).Seconds(), "req/s")
+	b.ReportMetric(float64((cpuTime()-cpu).Nanoseconds())/n, "cpu-ns/req")
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func BenchmarkShardRequests(b *testing.B) {
+	servers := make([]netip.AddrPort, benchServers)
+	listed := make([]Server, benchServers)
+	for i := range servers {
+		servers[i] = cannedServer(b)
+		listed[i] = Server{Address: servers[i], Connections: benchConns}
+	}
+	b.Run("back", func(b *testing.B) {
+		k := NewClient(Config{})
+		defer k.Close()
+		k.SetServers(listed)
+		fanOut(b, servers, func(ctx context.Context, a netip.AddrPort, d time.Time) bool {
+			_, r := k.Query(ctx, a, d, benchQuery)
+			return r.Class == OK
+		})
+	})
+	b.Run("nethttp", func(b *testing.B) {
+		t := &http.Transport{
+			MaxConnsPerHost: benchConns, MaxIdleConnsPerHost: benchConns, DisableCompression: true,
+		}
+		defer t.CloseIdleConnections()
+		fanOut(b, servers, func(ctx context.Context, a netip.AddrPort, d time.Time) bool {
+			return plainQuery(ctx, &http.Client{Transport: t}, a, d)
+		})
+	})
+}
+
+func plainQuery(ctx context.Context, k *http.Client, a netip.AddrPort, deadline time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	body, _ := json.Marshal(benchQuery)
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.String()+"/shard", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	q.Header.Set("Content-Type", "application/json")
+	q.Header.Set(wire.HeaderRequestID, benchQuery.RequestID)
+	q.Header.Set(wire.HeaderDeadline, deadline.UTC().Format(time.RFC3339Nano))
+	v, err := k.Do(q)
+	if err != nil {
+		return false
+	}
+	defer v.Body.Close()
+	raw, err := io.ReadAll(v.Body)
+	if err != nil || v.StatusCode != http.StatusOK {
+		return false
+	}
+	var w wire.ShardAnswer
+	return json.Unmarshal(raw, &w) == nil && w.Complete && w.RequestID == benchQuery.RequestID
+}
--- /dev/null
+++ b/back/client_test.go
@@ -0,0 +1,281 @@
+package back
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+var testQuery = wire.ShardQuery{
+	RequestID: "q-1", Service: "stump-jobs", Shard: "s-1", IndexVersion: "v1", Kind: "lookup", TopK: 3,
+}
+
+func testClient(tb testing.TB, connections int, addresses ...netip.AddrPort) *Client {
+	k := NewClient(Config{MaxAnswer: 64 << 10, RetireTimeout: 300 * time.Millisecond})
+	tb.Cleanup(k.Close)
+	k.SetServers(servers(connections, addresses...))
+	return k
+}
+
+func servers(connections int, addresses ...netip.AddrPort) (v []Server) {
+	for _, a := range addresses {
+		v = append(v, Server{Address: a, Connections: connections})
+	}
+	return v
+}
+
+// TestClassOfQuery guards against an attempt whose class claims less or more than what happened.
+// The first request on each connection is answered well, so that the server's incarnation is known.
+func TestClassOfQuery(t *testing.T) {
+	health := func(incarnation string) func(net.Conn) bool {
+		return func(c net.Conn) bool { return reply(c, 200, wire.Health{Incarnation: incarnation}) }
+	}
+	failure := func(status int, f wire.BackendFailure) func(net.Conn) bool {
+		return func(c net.Conn) bool { return reply(c, status, f) }
+	}
+	changed := func(f func(*wire.ShardAnswer)) func(net.Conn) bool {
+		a := answerTo(testQuery)
+		f(&a)
+		return func(c net.Conn) bool { return reply(c, 200, a) }
+	}
+	raw := func(status, length int, body string) func(net.Conn) bool {
+		return func(c net.Conn) bool { return replyRaw(c, status, length, []byte(body)) && length == len(body) }
+	}
+	endless := func(c net.Conn) bool {
+		_, err := c.Write([]byte("HTTP/1.1 200 x\r\n"))
+		for err == nil {
+			_, err = c.Write([]byte("A: " + strings.Repeat("x", 1000) + "\r\n"))
+		}
+		return false
+	}
+	closed := func(net.Conn) bool { return false }
+	silent := func(net.Conn) bool { time.Sleep(300 * time.Millisecond); return false }
+	cases := []struct {
+		name   string
+		answer func(net.Conn) bool
+		health func(net.Conn) bool
+		class  Class
+		ran    bool
+	}{
+		{"good", changed(func(*wire.ShardAnswer) {}), nil, OK, true},
+		{"shed", failure(503, wire.BackendFailure{NotRun: true, Reason: wire.BackendShed}), nil, NotRun, false},
+		{"shed while running", failure(503, wire.BackendFailure{Reason: wire.BackendShed}), nil, Broken, true},
+		{"deadline while running", failure(504, wire.BackendFailure{Reason: wire.BackendDeadline}), nil, TimedOut, true},
+		{"reason of another status", failure(404, wire.BackendFailure{NotRun: true, Reason: wire.BackendShed}), nil, Invalid, true},
+		{"page of another server", raw(503, 6, "<html>"), nil, Invalid, true},
+		{"other request", changed(func(a *wire.ShardAnswer) { a.RequestID = "q-2" }), nil, Invalid, true},
+		{"other shard", changed(func(a *wire.ShardAnswer) { a.Shard = "s-2" }), nil, Invalid, true},
+		{"other version", changed(func(a *wire.ShardAnswer) { a.IndexVersion = "v2" }), nil, Invalid, true},
+		{"incomplete", changed(func(a *wire.ShardAnswer) { a.Complete = false }), nil, Invalid, true},
+		{"too large", raw(200, 70<<10, strings.Repeat("x", 70<<10)), nil, Invalid, true},
+		{"endless head", endless, nil, Invalid, true},
+		{"truncated", raw(200, 90, `{"RequestId":"q-1"`), health("i1"), Invalid, true},
+		{"truncated by a crash", raw(200, 90, `{"RequestId":"q-1"`), health("i2"), Crashed, true},
+		{"closed", closed, health("i1"), Broken, true},
+		{"closed without health", closed, closed, Broken, true},
+		{"closed by a crash", closed, health("i2"), Crashed, true},
+		{"silent", silent, nil, Silent, true},
+	}
+	for _, v := range cases {
+		t.Run(v.name, func(t *testing.T) {
+			is := is.New(t)
+			a := listen(t, requests(func(n int, q *http.Request, c net.Conn) bool {
+				if q.URL.Path == "/health" {
+					return v.health(c)
+				}
+				if n == 0 {
+					return reply(c, 200, answerTo(bodyOf[wire.ShardQuery](q)))
+				}
+				return v.answer(c)
+			}))
+			k := testClient(t, 1, a)
+			deadline := time.Now().Add(150 * time.Millisecond)
+			_, r := k.Query(t.Context(), a, deadline, testQuery)
+			is.Equal(r.Class, OK)
+			is.True(r.Fresh)
+			_, r = k.Query(t.Context(), a, deadline, testQuery)
+			is.Equal(r.Class, v.class) // r.Message
+			is.Equal(r.MayHaveRun, v.ran)
+			is.True(!r.Fresh)
+		})
+	}
+}
+
+// TestLostServer guards against "not run" for a request that reached a server which then ended, and
+// against a doubt about a request that reached none.
+func TestLostServer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // the test ends it
+	is.NoErr(err)
+	a := l.Addr().(*net.TCPAddr).AddrPort()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		l.Close()
+		requests(func(int, *http.Request, net.Conn) bool { return false })(c)
+		c.Close()
+	}()
+	k := testClient(t, 2, a)
+	o := wire.BackendOrder{Key: "k", Body: json.RawMessage(`{}`)}
+	_, r := k.Order(t.Context(), a, time.Now().Add(time.Second), o)
+	is.Equal(r.Class, Crashed)
+	is.True(r.MayHaveRun)
+	_, r = k.Order(t.Context(), a, time.Now().Add(time.Second), o)
+	is.Equal(r.Class, Unsent)
+	is.True(r.Refused && !r.MayHaveRun)
+	_, r = k.Order(t.Context(), a, time.Now().Add(-time.Second), o)
+	is.Equal(r.Class, Unsent)
+	o.Body = json.RawMessage(`{`)
+	_, r = k.Order(t.Context(), a, time.Now().Add(time.Second), o)
+	is.Equal(r.Class, Unsent)
+}
+
+// TestOrderAfterIdleClose guards against an Unknown order whose only fault was a connection that
+// the server had closed while it was idle.
+func TestOrderAfterIdleClose(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan bool, 100)
+	a := listen(t, func(c net.Conn) {
+		requests(func(_ int, q *http.Request, c net.Conn) bool {
+			key := bodyOf[wire.BackendOrder](q).Key
+			reply(c, 200, wire.BackendOrderAnswer{Key: key, Incarnation: "i1", Complete: true})
+			return false
+		})(c)
+		c.Close()
+		ended <- true
+	})
+	k := testClient(t, 1, a)
+	for range 20 {
+		_, r := k.Order(t.Context(), a, time.Now().Add(time.Second), wire.BackendOrder{Key: "k", Body: json.RawMessage(`1`)})
+		is.Equal(r.Class, OK) // r.Message
+		<-ended
+	}
+}
+
+// TestCancelReachesServer guards against a hedge loser that keeps its server busy.
+func TestCancelReachesServer(t *testing.T) {
+	is := is.New(t)
+	started, ended := make(chan bool), make(chan bool)
+	a := listen(t, requests(func(_ int, _ *http.Request, c net.Conn) bool {
+		started <- true
+		_, _ = c.Read(make([]byte, 1))
+		ended <- true
+		return false
+	}))
+	k := testClient(t, 1, a)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-started
+		cancel()
+	}()
+	_, r := k.Query(ctx, a, time.Now().Add(10*time.Second), testQuery)
+	is.Equal(r.Class, Canceled)
+	<-ended
+}
+
+// TestCap guards against more connections at a server than it accepts, while connections go silent,
+// are cancelled, closed late by the server, and the server leaves and returns.
+func TestCap(t *testing.T) {
+	is := is.New(t)
+	const limit = 5
+	var open, most, good atomic.Int64
+	var seed atomic.Uint64
+	a := listen(t, func(c net.Conn) {
+		n := open.Add(1)
+		for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+		}
+		random := rand.New(rand.NewPCG(1, seed.Add(1)))
+		requests(func(_ int, q *http.Request, c net.Conn) bool {
+			body := bodyOf[wire.ShardQuery](q)
+			switch random.IntN(20) {
+			case 0:
+				return false
+			case 1:
+				time.Sleep(60 * time.Millisecond)
+				return true
+			}
+			time.Sleep(time.Duration(random.IntN(3)) * time.Millisecond)
+			return reply(c, 200, answerTo(body))
+		})(c)
+		time.Sleep(time.Duration(random.IntN(20)) * time.Millisecond)
+		open.Add(-1)
+	})
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	k := NewClient(Config{IdleLifetime: 20 * time.Millisecond, RetireTimeout: time.Second})
+	k.SetServers(servers(limit, a))
+	var g sync.WaitGroup
+	for i := range 4 * limit {
+		g.Go(func() {
+			random := rand.New(rand.NewPCG(2, uint64(i)))
+			for range 100 {
+				ctx, cancel := context.WithCancel(t.Context())
+				if random.IntN(10) == 0 {
+					time.AfterFunc(time.Duration(random.IntN(5))*time.Millisecond, cancel)
+				}
+				if _, r := k.Query(ctx, a, time.Now().Add(40*time.Millisecond), testQuery); r.Class == OK {
+					good.Add(1)
+				}
+				cancel()
+			}
+		})
+	}
+	g.Go(func() {
+		for i := range 20 {
+			k.SetServers(nil)
+			k.SetServers(servers(limit-i%3, a))
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	g.Wait()
+	k.Close()
+	is.True(good.Load() > 100)
+	is.True(most.Load() <= limit) // connections that the server saw at once
+	is.True(most.Load() >= 3)
+	for range 200 {
+		if open.Load() == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(open.Load(), int64(0))
+}
+
+// FuzzAnswer guards against an answer to another request or an incomplete one that is accepted.
+func FuzzAnswer(f *testing.F) {
+	good, _ := json.Marshal(answerTo(testQuery))
+	f.Add(200, good)
+	f.Add(503, []byte(`{"NotRun":true,"Reason":"Shed"}`))
+	f.Add(200, good[:len(good)-1])
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		s := newScratch()
+		s.in.Write(body)
+		var r Result
+		(&Client{}).classify(status, s, &r)
+		if r.Class == NotRun && (status < 400 || !strings.Contains(string(body), "true")) {
+			t.Fatalf("status %d body %q counts as not run", status, body)
+		}
+		var a wire.ShardAnswer
+		if r.Class != OK || !decode(body, &a, &r) {
+			return
+		}
+		matchQuery(&a, &testQuery, &r)
+		if r.Class == OK && (!a.Complete || a.RequestID != testQuery.RequestID) {
+			t.Fatalf("body %q is accepted", body)
+		}
+	})
+}
--- /dev/null
+++ b/back/stand_test.go
@@ -0,0 +1,86 @@
+package back
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// listen serves connections on a loopback port until the test ends.
+func listen(tb testing.TB, serve func(net.Conn)) netip.AddrPort {
+	tb.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // the test ends it
+	if err != nil {
+		tb.Fatal(err)
+	}
+	var mu sync.Mutex
+	var open []net.Conn
+	tb.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for _, c := range open {
+			c.Close()
+		}
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			open = append(open, c)
+			mu.Unlock()
+			go func() {
+				defer c.Close()
+				serve(c)
+			}()
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// requests calls answer for each request on a connection with its number and the connection.
+// answer returns false to close the connection.
+func requests(answer func(n int, q *http.Request, c net.Conn) bool) func(net.Conn) {
+	return func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for n := 0; ; n++ {
+			q, err := http.ReadRequest(r)
+			if err != nil || !answer(n, q, c) {
+				return
+			}
+		}
+	}
+}
+
+func answerTo(q wire.ShardQuery) wire.ShardAnswer {
+	return wire.ShardAnswer{
+		RequestID: q.RequestID, Shard: q.Shard, IndexVersion: q.IndexVersion,
+		Incarnation: "i1", Warm: true, Complete: true,
+	}
+}
+
+// reply writes an answer with the status and the JSON form of v.
+func reply(c net.Conn, status int, v any) bool {
+	b, _ := json.Marshal(v)
+	return replyRaw(c, status, len(b), b)
+}
+
+func replyRaw(c net.Conn, status, length int, b []byte) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s", status, length, b)
+	return err == nil
+}
+
+func bodyOf[T any](q *http.Request) (v T) {
+	_ = json.NewDecoder(q.Body).Decode(&v)
+	return v
+}
