Add order keys and their table

Cause: an order must run at most once without shared storage.

Change: package order with signed keys, and the table of one issuer incarnation with the states Issued, Running, Done, Closed and Unknown.

--- /dev/null
+++ b/order/state.go
@@ -0,0 +1,140 @@
+package order
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// State is the state of a key at its issuer.
+type State int
+
+// States of a key.
+const (
+	// Issued means that the key has not been started.
+	Issued State = iota + 1
+	// Running means that an attempt is in flight.
+	Running
+	// Done means that the order ran and its result is kept.
+	Done
+	// Closed means that the order has not run and never will.
+	Closed
+	// Unknown means that the order may have run. A late answer can still decide it.
+	Unknown
+)
+
+var stateNames = [...]string{
+	Issued: "Issued", Running: "Running", Done: "Done", Closed: "Closed", Unknown: "Unknown",
+}
+
+// String returns the name of the state.
+func (s State) String() string {
+	if s < Issued || s > Unknown {
+		return "None"
+	}
+	return stateNames[s]
+}
+
+// Request is an order that a caller has sent under a key.
+type Request struct {
+	Key     string
+	Service string
+	Caller  string
+	Kind    string
+	Body    json.RawMessage
+}
+
+// digest identifies kind and body. Relays may change white space and escapes of the JSON form, so
+// both are put into one form first.
+func (r Request) digest() [sha256.Size]byte {
+	var b, e bytes.Buffer
+	if json.Compact(&b, r.Body) == nil {
+		json.HTMLEscape(&e, b.Bytes())
+	} else {
+		e.Write(r.Body)
+	}
+	h := sha256.New()
+	h.Write([]byte(r.Kind))
+	h.Write([]byte{0})
+	h.Write(e.Bytes())
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+// Attempt names one dispatch of a key. Only the newest attempt of a key changes its state.
+type Attempt struct {
+	Serial uint64
+	Number int
+}
+
+// Outcome is what the table knows of a key after a request.
+type Outcome struct {
+	State State
+	// Run is true when the request must be dispatched as Attempt, by this caller of the table only.
+	Run     bool
+	Attempt Attempt
+	// Result is the backend server's result when State is Done.
+	Result json.RawMessage
+	// Failure is what the caller is told when State is neither Done nor Running. It is also set,
+	// with a zero State, when the request does not fit the key.
+	Failure *wire.Failure
+	// Settled is set when State is Running. It is closed when the state changes; LookUp then
+	// returns the outcome.
+	Settled <-chan struct{}
+}
+
+// entry is one key in the table.
+type entry struct {
+	key     Key
+	state   State
+	digest  [sha256.Size]byte
+	attempt int
+	result  json.RawMessage
+	failure *wire.Failure
+	settled chan struct{}
+}
+
+func (e *entry) start(digest [sha256.Size]byte) {
+	e.state = Running
+	e.digest = digest
+	e.attempt = 1
+	e.settled = make(chan struct{})
+}
+
+// settle ends Running. It is also used for late answers, after the channel was closed.
+func (e *entry) settle(s State) {
+	if e.state == Running {
+		close(e.settled)
+	}
+	e.state = s
+}
+
+func (e *entry) close(f *wire.Failure) {
+	e.settle(Closed)
+	e.failure = f
+}
+
+func (e *entry) outcome() Outcome {
+	o := Outcome{State: e.state, Attempt: Attempt{Serial: e.key.Serial, Number: e.attempt}}
+	switch e.state {
+	case Issued:
+		o.Failure = wire.Uncertain(wire.StepOrderKey, "", wire.ReasonNotReady,
+			"the key has not been sent; send it with the order")
+	case Running:
+		o.Settled = e.settled
+	case Done:
+		o.Result = e.result
+	case Closed:
+		o.Failure = e.failure
+	case Unknown:
+		o.Failure = wire.Uncertain(wire.StepDispatch, "", wire.ReasonBackend,
+			"the order may have run; ask for its outcome")
+	}
+	return o
+}
+
+func (e *entry) expired(now time.Time) bool {
+	return !now.Before(e.key.Expires)
+}
