--- /dev/null
+++ b/conf/check.go
@@ -0,0 +1,185 @@
+package conf
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"strings"
+	"unicode"
+)
+
+// Limits of a document. They keep a mistake such as a wrong unit from taking effect, and bound
+// the memory that a document takes in a node.
+const (
+	MaxNameBytes   = 100
+	MaxServices    = 10_000
+	MaxCallers     = 20_000
+	MaxDomains     = 1_000
+	MaxPresets     = 100
+	MaxKinds       = 100
+	MaxKeyHashes   = 8
+	MaxSlices      = 4_096
+	MaxIndexes     = 8
+	MaxSlots       = 10_000
+	MaxConnections = 100_000
+	MaxQueueLimit  = 1_000_000
+	MaxWorth       = 1e6
+	hashBytes      = 32
+	allServices    = "*"
+)
+
+// checker holds what the parts of a document refer to.
+type checker struct {
+	faults   Faults
+	services map[string]bool
+	domains  map[string]bool
+	kinds    map[string]bool
+	servers  distinct[netip.AddrPort]
+}
+
+// Check returns every fault of the document. A document is accepted only as a whole, if there is
+// none.
+func (d *Document) Check() Faults {
+	c := &checker{
+		services: map[string]bool{},
+		domains:  map[string]bool{},
+		kinds:    map[string]bool{},
+		servers:  distinct[netip.AddrPort]{},
+	}
+	for _, s := range d.Services {
+		c.services[s.Name] = true
+		for _, k := range s.Kinds {
+			c.kinds[k.Name] = true
+		}
+	}
+	for _, x := range d.FailureDomains {
+		c.domains[x.Name] = true
+	}
+	if d.Version == 0 {
+		c.faults.add("Version", "must be at least 1")
+	}
+	c.presets(d)
+	c.failureDomains(d.FailureDomains)
+	c.callers(d.Callers)
+	c.count("Services", len(d.Services), 1, MaxServices)
+	names := distinct[string]{}
+	for i := range d.Services {
+		p := element("Services", i)
+		c.identifier(field(p, "Name"), d.Services[i].Name)
+		names.check(&c.faults, field(p, "Name"), d.Services[i].Name)
+		c.service(p, &d.Services[i])
+	}
+	return c.faults
+}
+
+func (c *checker) presets(d *Document) {
+	c.count("Presets", len(d.Presets), 1, MaxPresets)
+	names := distinct[string]{}
+	found := false
+	for i, p := range d.Presets {
+		at := element("Presets", i)
+		found = found || p.Name == d.Preset
+		c.identifier(field(at, "Name"), p.Name)
+		names.check(&c.faults, field(at, "Name"), p.Name)
+		between(&c.faults, field(at, "HedgeBudget"), p.HedgeBudget, 0, 1)
+		between(&c.faults, field(at, "RetryBudget"), p.RetryBudget, 0, 1)
+		between(&c.faults, field(at, "QueueLimit"), p.QueueLimit, 1, MaxQueueLimit)
+		for _, k := range sortedKeys(p.Worth) {
+			w := field(field(at, "Worth"), k)
+			between(&c.faults, w, p.Worth[k], 0, MaxWorth)
+			if !c.kinds[k] {
+				c.faults.add(w, "no service has a kind of this name")
+			}
+		}
+	}
+	if !found {
+		c.faults.add("Preset", "no preset has the name %q", d.Preset)
+	}
+}
+
+func (c *checker) failureDomains(all []FailureDomain) {
+	c.count("FailureDomains", len(all), 1, MaxDomains)
+	names := distinct[string]{}
+	for i, x := range all {
+		p := element("FailureDomains", i)
+		c.text(field(p, "Name"), x.Name)
+		names.check(&c.faults, field(p, "Name"), x.Name)
+		c.text(field(p, "Region"), x.Region)
+		if x.State != DomainIn && x.State != DomainOut {
+			c.faults.add(field(p, "State"), "must be %q or %q", DomainIn, DomainOut)
+		}
+	}
+}
+
+func (c *checker) callers(all []Caller) {
+	c.count("Callers", len(all), 0, MaxCallers)
+	names, hashes := distinct[string]{}, distinct[string]{}
+	for i, x := range all {
+		p := element("Callers", i)
+		c.identifier(field(p, "Name"), x.Name)
+		names.check(&c.faults, field(p, "Name"), x.Name)
+		c.count(field(p, "KeyHashes"), len(x.KeyHashes), 1, MaxKeyHashes)
+		for j, h := range x.KeyHashes {
+			at := element(field(p, "KeyHashes"), j)
+			if raw, err := hex.DecodeString(h); err != nil || len(raw) != hashBytes {
+				c.faults.add(at, "must be a SHA-256 hash of 64 hex digits")
+				continue
+			}
+			// A key of two callers would give one of them the other's access.
+			hashes.check(&c.faults, at, strings.ToLower(h))
+		}
+		c.count(field(p, "Services"), len(x.Services), 0, MaxServices)
+		for j, s := range x.Services {
+			if s != allServices && !c.services[s] {
+				c.faults.add(element(field(p, "Services"), j), "no service has the name %q", s)
+			}
+		}
+	}
+}
+
+func (c *checker) count(path string, n, low, high int) {
+	if n < low {
+		c.faults.add(path, "must have at least %d entries, has %d", low, n)
+	}
+	if n > high {
+		c.faults.add(path, "must have at most %d entries, has %d", high, n)
+	}
+}
+
+// identifier checks a name that appears in paths, headers and log lines.
+func (c *checker) identifier(path, name string) {
+	if !isIdentifier(name) {
+		c.faults.add(path, "must be 1 to %d letters, digits, '-', '_' or '.', and start with a letter or digit", MaxNameBytes)
+	}
+}
+
+func isIdentifier(name string) bool {
+	if name == "" || len(name) > MaxNameBytes {
+		return false
+	}
+	for i, r := range []byte(name) {
+		alphanumeric := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !alphanumeric && (i == 0 || r != '-' && r != '_' && r != '.') {
+			return false
+		}
+	}
+	return true
+}
+
+// text checks a name that people choose, such as that of a town.
+func (c *checker) text(path, name string) {
+	if !isText(name) {
+		c.faults.add(path, "must be 1 to %d bytes of printable text without spaces at its ends", MaxNameBytes)
+	}
+}
+
+func isText(name string) bool {
+	if name == "" || len(name) > MaxNameBytes || strings.TrimSpace(name) != name {
+		return false
+	}
+	for _, r := range name {
+		if r == unicode.ReplacementChar || !unicode.IsPrint(r) {
+			return false
+		}
+	}
+	return true
+}
