Add first versions of the stand-ins and the platform client

Cause: the other packages need a platform and backend servers to run against. Change: stand has Platform, Server and Fleet with seeded faults; plat watches the configuration and reads the VM list with backoff and body limits. wire names the reason Cancelled for requests that POST /cancel ended.

--- /dev/null
+++ b/plat/decode.go
@@ -0,0 +1,59 @@
+package plat
+
+import (
+	"encoding/json"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+	"github.com/cockroachdb/errors"
+)
+
+// checkDocument checks that raw is a JSON object with a version above after.
+func checkDocument(raw []byte, after uint64) error {
+	var head struct {
+		Version *uint64 `json:"Version"`
+	}
+	if err := json.Unmarshal(raw, &head); err != nil {
+		return errors.Mark(errors.Wrap(err, "document"), ErrInvalid)
+	}
+	if head.Version == nil {
+		return errors.Wrap(ErrInvalid, "document has no Version")
+	}
+	if *head.Version <= after {
+		return errors.Wrapf(ErrInvalid, "document has version %d, asked for one above %d", *head.Version, after)
+	}
+	return nil
+}
+
+// decodeVMs decodes a VM list. An entry with an unknown role or state fails the whole list,
+// because a list with entries left out looks like lost VMs.
+func decodeVMs(raw []byte) ([]wire.VM, error) {
+	var list struct {
+		VMs *[]wire.VM `json:"Vms"`
+	}
+	if err := json.Unmarshal(raw, &list); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "VM list"), ErrInvalid)
+	}
+	if list.VMs == nil {
+		return nil, errors.Wrap(ErrInvalid, "VM list has no Vms")
+	}
+	for i, v := range *list.VMs {
+		if err := checkVM(v); err != nil {
+			return nil, errors.Wrapf(err, "VM list: entry %d", i)
+		}
+	}
+	return *list.VMs, nil
+}
+
+func checkVM(v wire.VM) error {
+	switch {
+	case !v.Address.IsValid() || v.Address.Port() == 0:
+		return errors.Wrap(ErrInvalid, "no address with a port")
+	case v.Role != wire.RoleEntry && v.Role != wire.RoleBackend:
+		return errors.Wrapf(ErrInvalid, "role %q", v.Role)
+	case v.State != wire.VMLive && v.State != wire.VMLeaving:
+		return errors.Wrapf(ErrInvalid, "state %q", v.State)
+	case v.FailureDomain == "":
+		return errors.Wrap(ErrInvalid, "no failure domain")
+	}
+	return nil
+}
--- /dev/null
+++ b/stand/fleet.go
@@ -0,0 +1,311 @@
+package stand
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/wire"
+	"github.com/cockroachdb/errors"
+)
+
+// FleetConfig holds the settings of a Fleet.
+type FleetConfig struct {
+	// Document describes the services. Each server that it names is started, on a free loopback
+	// port unless KeepAddresses is set. Without a document, Layout makes one.
+	Document *conf.Document
+	Layout   Layout
+	// KeepAddresses makes the servers listen on the addresses of the document.
+	KeepAddresses bool
+	// PlatformAddress is where the platform listens; the zero value means a free loopback port.
+	PlatformAddress netip.AddrPort
+	// Platform and Server are templates. Document, VMs, names, limits, indexes and seeds are
+	// filled in.
+	Platform PlatformConfig
+	Server   ServerConfig
+	Seed     uint64
+}
+
+// Fleet is a running platform with a set of running backend servers.
+type Fleet struct {
+	Platform *Platform
+	// URL is the base URL of the platform.
+	URL string
+
+	http    *http.Server
+	serving sync.WaitGroup
+
+	mu       sync.Mutex
+	document *conf.Document
+	servers  map[netip.AddrPort]*Server
+	domains  map[netip.AddrPort]string
+	entries  []wire.VM
+	leaving  map[netip.AddrPort]bool
+}
+
+// StartFleet starts the platform and all servers.
+func StartFleet(ctx context.Context, c FleetConfig) (*Fleet, error) {
+	d := c.Document
+	if d == nil {
+		d = c.Layout.Document()
+	}
+	f := &Fleet{
+		servers: map[netip.AddrPort]*Server{}, domains: map[netip.AddrPort]string{},
+		leaving: map[netip.AddrPort]bool{},
+	}
+	if err := f.start(ctx, c, d); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context, c FleetConfig, d *conf.Document) error {
+	moved, err := f.startServers(ctx, c, d)
+	if err != nil {
+		return err
+	}
+	f.document = withAddresses(d, moved)
+	c.Platform.Document = f.document
+	c.Platform.VMs = f.vms()
+	if f.Platform, err = NewPlatform(c.Platform); err != nil {
+		return err
+	}
+	address := c.PlatformAddress
+	if !address.IsValid() {
+		address = anyLoopback
+	}
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return errors.Wrapf(err, "stand: platform: listen on %s", address)
+	}
+	f.URL = "http://" + ln.Addr().String()
+	f.http = &http.Server{Handler: f.Platform, ReadHeaderTimeout: time.Minute}
+	f.serving.Go(func() { _ = f.http.Serve(ln) })
+	return nil
+}
+
+var anyLoopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// startServers starts the servers of the document and returns their new addresses by the old
+// ones. Documents may name a server in several services.
+func (f *Fleet) startServers(ctx context.Context, c FleetConfig, d *conf.Document) (map[netip.AddrPort]netip.AddrPort, error) {
+	moved := map[netip.AddrPort]netip.AddrPort{}
+	for _, v := range d.Services {
+		for _, b := range v.Servers {
+			if _, ok := moved[b.Address]; ok {
+				continue
+			}
+			s := NewServer(serverConfig(c, v, b, len(moved)))
+			address := anyLoopback
+			if c.KeepAddresses {
+				address = b.Address
+			}
+			if err := s.Listen(ctx, address); err != nil {
+				return nil, err
+			}
+			moved[b.Address] = s.Address()
+			f.servers[s.Address()] = s
+			f.domains[s.Address()] = b.FailureDomain
+		}
+	}
+	return moved, nil
+}
+
+func serverConfig(c FleetConfig, v conf.Service, b conf.BackendServer, number int) ServerConfig {
+	t := c.Server
+	t.Name = fmt.Sprintf("%s-%d", v.Name, number)
+	t.Slots, t.ColdSlots, t.Connections = b.Slots, b.ColdSlots, b.Connections
+	t.Seed = c.Seed + uint64(number)
+	t.Indexes = held(v.Indexes, b.Address)
+	return t
+}
+
+// held returns the versions and shards of which the server has a replica. A server without any
+// shard, such as one that only takes orders, holds everything.
+func held(indexes []conf.Index, address netip.AddrPort) []ServerIndex {
+	var h []ServerIndex
+	for _, i := range indexes {
+		x := ServerIndex{Version: i.Version}
+		for _, s := range i.Shards {
+			if slices.Contains(s.Servers, address) {
+				x.Shards = append(x.Shards, s.Name)
+			}
+		}
+		if len(x.Shards) > 0 {
+			h = append(h, x)
+		}
+	}
+	return h
+}
+
+// withAddresses returns a copy of the document in which the servers have their new addresses.
+func withAddresses(d *conf.Document, moved map[netip.AddrPort]netip.AddrPort) *conf.Document {
+	n := cloneDocument(d)
+	for i := range n.Services {
+		v := &n.Services[i]
+		for k := range v.Servers {
+			v.Servers[k].Address = moved[v.Servers[k].Address]
+		}
+		for _, x := range v.Indexes {
+			for _, s := range x.Shards {
+				for k := range s.Servers {
+					s.Servers[k] = orDefault(moved[s.Servers[k]], s.Servers[k])
+				}
+			}
+		}
+	}
+	return n
+}
+
+// cloneDocument copies everything that a Fleet or its user changes.
+func cloneDocument(d *conf.Document) *conf.Document {
+	n := *d
+	n.Presets = slices.Clone(d.Presets)
+	n.FailureDomains = slices.Clone(d.FailureDomains)
+	n.Callers = slices.Clone(d.Callers)
+	n.Services = slices.Clone(d.Services)
+	for i := range n.Services {
+		v := &n.Services[i]
+		v.Kinds = slices.Clone(v.Kinds)
+		v.Servers = slices.Clone(v.Servers)
+		v.Indexes = slices.Clone(v.Indexes)
+		for k := range v.Indexes {
+			x := &v.Indexes[k]
+			x.Shards = slices.Clone(x.Shards)
+			for m := range x.Shards {
+				x.Shards[m].Servers = slices.Clone(x.Shards[m].Servers)
+			}
+		}
+	}
+	return &n
+}
+
+// Document returns a copy of the published document, with the addresses of the servers.
+func (f *Fleet) Document() *conf.Document {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return cloneDocument(f.document)
+}
+
+// Update changes a copy of the document, raises its version by one and publishes it.
+func (f *Fleet) Update(change func(*conf.Document)) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := cloneDocument(f.document)
+	change(n)
+	n.Version = f.document.Version + 1
+	if err := f.Platform.Publish(n); err != nil {
+		return err
+	}
+	f.document = n
+	return nil
+}
+
+// SetDomain publishes that a failure domain is in or out.
+func (f *Fleet) SetDomain(name string, state conf.DomainState) error {
+	return f.Update(func(d *conf.Document) {
+		for i := range d.FailureDomains {
+			if d.FailureDomains[i].Name == name {
+				d.FailureDomains[i].State = state
+			}
+		}
+	})
+}
+
+// SetEntryVMs replaces the entry VMs in the platform's list.
+func (f *Fleet) SetEntryVMs(vms []wire.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = slices.Clone(vms)
+	f.Platform.SetVMs(f.vms())
+}
+
+// Leave marks the VM of a server as leaving in the platform's list. The server itself goes on.
+func (f *Fleet) Leave(address netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving[address] = true
+	f.Platform.SetVMs(f.vms())
+}
+
+func (f *Fleet) vms() []wire.VM {
+	vms := slices.Clone(f.entries)
+	for _, a := range f.addresses() {
+		v := wire.VM{Address: a, Role: wire.RoleBackend, FailureDomain: f.domains[a], State: wire.VMLive}
+		if f.leaving[a] {
+			v.State = wire.VMLeaving
+		}
+		vms = append(vms, v)
+	}
+	return vms
+}
+
+func (f *Fleet) addresses() []netip.AddrPort {
+	var list []netip.AddrPort
+	for a := range f.servers {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(a, b netip.AddrPort) int { return a.Compare(b) })
+	return list
+}
+
+// Server returns the server that listens on the address, or nil.
+func (f *Fleet) Server(address netip.AddrPort) *Server {
+	return f.servers[address]
+}
+
+// Servers returns the servers in the order of their addresses. With domains it returns only
+// those of these failure domains.
+func (f *Fleet) Servers(domains ...string) []*Server {
+	var list []*Server
+	for _, a := range f.addresses() {
+		if len(domains) == 0 || slices.Contains(domains, f.domains[a]) {
+			list = append(list, f.servers[a])
+		}
+	}
+	return list
+}
+
+// Order returns how often the order with the key began to run on all servers together.
+func (f *Fleet) Order(key string) int {
+	n := 0
+	for _, s := range f.servers {
+		n += s.Record().Orders[key].Count
+	}
+	return n
+}
+
+// Close stops the platform and all servers and waits for them.
+func (f *Fleet) Close() {
+	if f.Platform != nil {
+		f.Platform.Close()
+	}
+	if f.http != nil {
+		_ = f.http.Close()
+	}
+	f.serving.Wait()
+	var all sync.WaitGroup
+	for _, s := range f.servers {
+		all.Go(s.Close)
+	}
+	all.Wait()
+}
+
+// String lists the platform and the servers, one a line.
+func (f *Fleet) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "platform %s\n", f.URL)
+	for _, a := range f.addresses() {
+		fmt.Fprintf(&b, "server %s %s %s\n", f.servers[a].config.Name, a, f.domains[a])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/stand/server_test.go
@@ -0,0 +1,135 @@
+package stand
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+	"github.com/matryer/is"
+)
+
+// listen starts a server on a free loopback port.
+func listen(t *testing.T, c ServerConfig) *Server {
+	t.Helper()
+	c.Name = "grinder"
+	s := NewServer(c)
+	if err := s.Listen(t.Context(), anyLoopback); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func newClient(t *testing.T) *http.Client {
+	tr := &http.Transport{MaxIdleConnsPerHost: 100}
+	t.Cleanup(tr.CloseIdleConnections)
+	return &http.Client{Transport: tr}
+}
+
+type sent struct {
+	id, shard, version, query, key, body string
+	timeout                              time.Duration
+}
+
+func (q sent) request(t *testing.T, to netip.AddrPort) *http.Request {
+	t.Helper()
+	path, v := "/shard", any(wire.ShardQuery{
+		RequestID: q.id, Service: "stumps", Shard: q.shard, IndexVersion: q.version, Kind: "lookup", Query: q.query, TopK: 3,
+	})
+	if q.key != "" {
+		path, v = "/order", wire.BackendOrder{Key: q.key, Service: "stumps", Kind: "order", Body: json.RawMessage(q.body)}
+	}
+	raw, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+to.String()+path, bytes.NewReader(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if q.timeout == 0 {
+		q.timeout = 5 * time.Second
+	}
+	r.Header.Set(wire.HeaderRequestID, q.id)
+	r.Header.Set(wire.HeaderDeadline, time.Now().Add(q.timeout).UTC().Format(time.RFC3339Nano))
+	return r
+}
+
+// do sends the request and returns the status with the body; status 0 means no whole answer.
+func (q sent) do(t *testing.T, c *http.Client, to netip.AddrPort) (int, string) {
+	t.Helper()
+	res, err := c.Do(q.request(t, to))
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return res.StatusCode, string(b)
+}
+
+// together sends n requests at once, all of them within the latency of the first.
+func together(t *testing.T, c *http.Client, to netip.AddrPort, n int) {
+	var all sync.WaitGroup
+	for i := range n {
+		all.Go(func() { sent{id: string(rune('a' + i)), shard: "s"}.do(t, c, to) })
+	}
+	all.Wait()
+}
+
+// A test that relies on a cold server falling over must see it fail only above what it bears.
+func TestColdServerFallsOverOnlyAboveWhatItBears(t *testing.T) {
+	is := is.New(t)
+	c := ServerConfig{
+		Slots: 4, ColdSlots: 1, WarmAfter: 3, CrashAfter: 3, RestartDelay: 20 * time.Millisecond,
+		Latency: Latency{Median: 20 * time.Millisecond, Sigma: -1, StragglerShare: -1},
+	}
+	s := listen(t, c)
+	cl := newClient(t)
+	for range 3 {
+		status, body := sent{id: "a", shard: "s"}.do(t, cl, s.Address())
+		is.Equal(status, http.StatusOK)
+		is.True(strings.Contains(body, `"Warm":`))
+	}
+	is.True(s.Warm())
+	together(t, cl, s.Address(), 4)
+	r := s.Record()
+	is.Equal(r.Crashes, 0)
+	is.Equal(r.Cold[0].Over, 0)
+	is.Equal(r.Cold[0].MostAtOnce, 1)
+
+	first := s.Incarnation()
+	s.TurnCold()
+	together(t, cl, s.Address(), 4)
+	r = s.Record()
+	is.Equal(r.Crashes, 1) // three requests above the one that it bears
+	is.Equal(r.Cold[1].Cause, ColdTurned)
+	is.Equal(r.Cold[1].Over, 3)
+	is.Equal(r.Cold[1].MostAtOnce, 4)
+	status, _ := sent{id: "b", shard: "s"}.do(t, cl, s.Address())
+	is.Equal(status, 0) // down: refused
+	is.True(eventually(func() bool { return s.Incarnation() != "" }))
+	is.True(s.Incarnation() != first)
+	is.True(!s.Warm())
+	status, _ = sent{id: "c", shard: "s"}.do(t, cl, s.Address())
+	is.Equal(status, http.StatusOK) // again on the same address
+}
+
+func eventually(f func() bool) bool {
+	for range 400 {
+		if f() {
+			return true
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return false
+}
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -63,6 +63,9 @@
 	BackendDeadline   BackendReason = "Deadline"
 	BackendCold       BackendReason = "Cold"
 	BackendBadRequest BackendReason = "BadRequest"
+	// BackendCancelled answers a request that POST /cancel ended. NotRun tells whether it had
+	// begun to run.
+	BackendCancelled BackendReason = "Cancelled"
 )
 
 // BackendFailure is the error body of a backend server.
