fleet: add membership, home leases and configuration state

Cause: packages that serve requests need to know the members, the home of each slice and the configuration that others have. Change: Node is a state machine without input or output. It holds three hash rings with suspicion by two observers, seats by weighted rendezvous hash that change only where a member's change can affect them, leases by a majority of seats, flooding of updates and notes, and the bootstrap rule.

--- /dev/null
+++ b/fleet/config.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+const (
+	// hashLength is the number of characters of a document's hash that messages carry.
+	hashLength = 16
+	// pullEvery is the least time between two requests to pull the same version.
+	pullEvery = time.Second
+	// conflictEvery is the least time between two reports of a conflict.
+	conflictEvery = 10 * time.Second
+	// sampleSize is the number of nodes, this one included, of which a majority must have answered
+	// before a fresh node is ready.
+	sampleSize = 9
+)
+
+// configWatch is what the node knows about the configuration of others.
+type configWatch struct {
+	highest    uint64
+	wanted     uint64
+	wantedAt   time.Time
+	conflictAt time.Time
+}
+
+// bootstrap is the rule by which a fresh node becomes ready.
+type bootstrap struct {
+	chosen   bool
+	ready    bool
+	sample   []netip.AddrPort
+	answered map[netip.AddrPort]bool
+}
+
+func shortHash(h string) string {
+	return h[:min(len(h), hashLength)]
+}
+
+// hearConfig compares the sender's configuration with that in force here.
+func (n *Node) hearConfig(from netip.AddrPort, m Message) {
+	if !n.boot.ready && slices.Contains(n.boot.sample, from) {
+		n.boot.answered[from] = true
+	}
+	n.config.highest = max(n.config.highest, m.Version)
+	if e := n.edge(from); e != nil {
+		e.version = max(e.version, m.Version)
+	}
+	c := &n.config
+	switch {
+	case m.Version > n.version:
+		if m.Version <= c.wanted && n.now.Sub(c.wantedAt) < pullEvery {
+			return
+		}
+		c.wanted, c.wantedAt = m.Version, n.now
+		n.emit(Event{Kind: ConfigNewer, Peer: from, Version: m.Version, Hash: m.Hash})
+	case m.Version == n.version && m.Hash != n.hash:
+		if !c.conflictAt.IsZero() && n.now.Sub(c.conflictAt) < conflictEvery {
+			return
+		}
+		c.conflictAt = n.now
+		n.emit(Event{Kind: ConfigConflict, Peer: from, Version: m.Version, Hash: m.Hash})
+	}
+}
+
+// chooseSample chooses the nodes that a fresh node asks, until it is ready.
+func (n *Node) chooseSample() {
+	if n.boot.ready {
+		return
+	}
+	var all []netip.AddrPort
+	for a, s := range n.vms {
+		if a != n.self.Address && s == wire.VMLive {
+			all = append(all, a)
+		}
+	}
+	rank := func(a netip.AddrPort) uint64 { return mix(hashAddress(a) ^ n.self.hash) }
+	slices.SortFunc(all, func(a, b netip.AddrPort) int {
+		if rank(a) != rank(b) && rank(a) > rank(b) {
+			return -1
+		}
+		if rank(a) != rank(b) {
+			return 1
+		}
+		return a.Compare(b)
+	})
+	answered := make(map[netip.AddrPort]bool)
+	for a, ok := range n.boot.answered {
+		answered[a] = ok
+	}
+	n.boot.chosen, n.boot.sample, n.boot.answered = true, all[:min(len(all), sampleSize-1)], answered
+	if len(all) == 0 {
+		n.joined = true
+	}
+}
+
+// contactSample sends a heartbeat to the nodes of the sample that have not answered.
+func (n *Node) contactSample() {
+	if n.boot.ready {
+		return
+	}
+	for _, a := range n.boot.sample {
+		if n.boot.answered[a] {
+			continue
+		}
+		m := n.message(KindHeartbeat)
+		n.serial++
+		m.Serial, m.Digest = n.serial, n.digest()
+		m.Updates = append(m.Updates, Update{Member: n.self.Member})
+		n.send(a, m)
+	}
+}
+
+// checkReady makes a fresh node ready when a majority of the sample has answered and the highest
+// version heard is in force.
+func (n *Node) checkReady() {
+	b := &n.boot
+	if b.ready || !b.chosen || n.version == 0 || n.version < n.config.highest {
+		return
+	}
+	count := 1
+	for _, a := range b.sample {
+		if b.answered[a] {
+			count++
+		}
+	}
+	if count < (len(b.sample)+1)/2+1 {
+		return
+	}
+	b.ready = true
+	n.emit(Event{Kind: BecameReady, Version: n.version, Hash: n.hash})
+}
--- /dev/null
+++ b/fleet/lease.go
@@ -0,0 +1,307 @@
+package fleet
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// lease is what this node keeps about a slice of which it has a seat or the lease.
+type lease struct {
+	sliceKey
+	// slot is nil when the document in force lacks the slice.
+	slot *slot
+	// seat is the number of this node's seat, or -1.
+	seat int
+	seatState
+	holderState
+}
+
+// holderState is the claimant's side.
+type holderState struct {
+	held bool
+	end  time.Time
+	// round, sentAt, asked and votes describe the last claim; round is 0 when it was given up.
+	round  uint64
+	sentAt time.Time
+	asked  []netip.AddrPort
+	votes  []netip.AddrPort
+	// renewedAt is when the claim that gave the present lease was sent.
+	renewedAt time.Time
+	nextClaim time.Time
+	// rival is the holder that a seat named in its last denial.
+	rival netip.AddrPort
+	// betterAt is when a better claimant last claimed the slice that this node holds.
+	betterAt time.Time
+}
+
+// betterWindow is how long a claim of a better claimant keeps the holder draining. The claimant
+// repeats its claim every RenewEvery.
+const betterWindow = 3 * RenewEvery
+
+// seatsChanged follows a change of the seats of a slice.
+func (n *Node) seatsChanged(s *slot, reshaped bool) {
+	l := n.leases[s.sliceKey]
+	seat := -1
+	if n.self != nil && len(s.groups) > 0 {
+		seat = s.seatOf(n.self)
+	}
+	if l == nil {
+		if seat < 0 {
+			return
+		}
+		l = &lease{sliceKey: s.sliceKey, seat: -1}
+		n.leases[s.sliceKey] = l
+		n.order = append(n.order, l)
+	}
+	l.slot = s
+	if len(s.groups) == 0 {
+		l.slot = nil
+	}
+	if seat >= 0 && l.seat < 0 {
+		l.abstainUntil = n.now.Add(n.rules.seatAbstention)
+		l.idleSince = n.now.Add(LeaseTime)
+		if reshaped {
+			l.strictUntil = n.now.Add(n.rules.documentAbstention)
+		}
+	}
+	l.seat = seat
+}
+
+// tickLeases ends leases, sends the claims that are due and forgets what is no longer needed.
+func (n *Node) tickLeases() {
+	n.order = slices.DeleteFunc(n.order, func(l *lease) bool {
+		if l.held && !n.now.Before(l.end) {
+			n.lose(l)
+		}
+		if l.seat >= 0 || l.held || n.now.Before(l.expires) {
+			return false
+		}
+		delete(n.leases, l.sliceKey)
+		return true
+	})
+	n.claimDue()
+}
+
+func (n *Node) claimDue() {
+	for _, l := range n.order {
+		if l.slot == nil || n.now.Before(l.nextClaim) || !l.held && !n.mayClaim(l) {
+			continue
+		}
+		n.claim(l)
+	}
+	n.sendBatch(KindClaim)
+}
+
+// mayClaim reports whether this node is the claimant of the slice: the first seat, or a lower one
+// after the promise that it gave has expired without renewal.
+func (n *Node) mayClaim(l *lease) bool {
+	if l.seat < 0 || n.self.State != StateAlive || n.view.domain(n.self.FailureDomain).out {
+		return false
+	}
+	if l.slot.first() == n.self {
+		return true
+	}
+	if n.now.Before(l.expires) && l.to.address != n.self.Address {
+		return false
+	}
+	wait := RenewEvery * time.Duration(max(1, l.seat))
+	return !n.now.Before(l.idleSince.Add(wait))
+}
+
+// claim asks all seats for a promise.
+func (n *Node) claim(l *lease) {
+	if n.batch.empty() {
+		n.round++
+	}
+	l.round, l.sentAt, l.nextClaim = n.round, n.now, n.now.Add(RenewEvery)
+	l.asked, l.votes = l.asked[:0], l.votes[:0]
+	item := LeaseItem{
+		Service: l.service, Slice: l.slice, Round: l.round, Held: l.isUsable(n), Weak: n.isWeak(l),
+	}
+	for i := range l.slot.seats {
+		if r := l.slot.seat(i); r != nil {
+			l.asked = append(l.asked, r.Address)
+		}
+	}
+	if l.rival.IsValid() && !slices.Contains(l.asked, l.rival) && !l.held {
+		// The holder may have no seat any more; it has to hear of the better claimant.
+		n.batch.add(l.rival, item, l.slot.size)
+	}
+	l.rival = netip.AddrPort{}
+	for _, a := range l.asked {
+		if a != n.self.Address {
+			n.batch.add(a, item, l.slot.size)
+			continue
+		}
+		if _, ok := n.promise(l, claimant{a, n.self.Incarnation}, item); ok {
+			n.vote(l, a)
+		}
+	}
+}
+
+// isWeak reports whether this node's own seat abstains from promising it the slice.
+func (n *Node) isWeak(l *lease) bool {
+	return !n.now.Before(l.expires) && n.abstains(l, false)
+}
+
+// vote counts a promise and takes the lease when a majority of the seats has promised.
+func (n *Node) vote(l *lease, from netip.AddrPort) {
+	if !slices.Contains(l.asked, from) || slices.Contains(l.votes, from) || l.slot == nil {
+		return
+	}
+	l.votes = append(l.votes, from)
+	end := l.sentAt.Add(n.rules.holderTime)
+	if len(l.votes) < l.slot.seats/2+1 || !n.now.Before(end) || l.sentAt.Before(n.resumed) {
+		return
+	}
+	e := Event{Kind: LeaseRenewed, Service: l.service, Slice: l.slice, End: end}
+	if !l.held {
+		e.Kind = LeaseGained
+		l.betterAt = time.Time{}
+	}
+	if l.held && !end.After(l.end) {
+		return
+	}
+	l.held, l.end, l.renewedAt = true, end, l.sentAt
+	n.emit(e)
+}
+
+// lose ends the lease on this side.
+func (n *Node) lose(l *lease) {
+	l.held, l.round = false, 0
+	l.idleSince = later(l.idleSince, n.now)
+	n.emit(Event{Kind: LeaseLost, Service: l.service, Slice: l.slice, End: l.end})
+}
+
+// promised counts the promises in a message.
+func (n *Node) promised(from netip.AddrPort, m Message) {
+	for _, it := range m.Leases {
+		l := n.leases[sliceKey{it.Service, it.Slice}]
+		if l != nil && l.round == it.Round && l.round != 0 {
+			n.vote(l, from)
+		}
+	}
+}
+
+// denied handles refused claims. A lower seat gives way to the claimant that the seat has promised
+// the slice; the first seat tries again when the promise expires.
+func (n *Node) denied(_ netip.AddrPort, m Message) {
+	for _, it := range m.Leases {
+		l := n.leases[sliceKey{it.Service, it.Slice}]
+		if l == nil || l.slot == nil || l.held || l.round != it.Round || l.round == 0 {
+			continue
+		}
+		left := time.Duration(it.Left) * time.Millisecond
+		if it.Holder.IsValid() && it.Holder != n.self.Address {
+			l.rival = it.Holder
+		}
+		if l.slot.first() == n.self {
+			if it.Left > 0 && left < RenewEvery {
+				l.nextClaim = earlier(l.nextClaim, n.now.Add(left))
+			}
+			continue
+		}
+		if it.Holder.IsValid() {
+			n.giveUp(l)
+			l.idleSince = later(l.idleSince, n.now.Add(left))
+		}
+	}
+	n.sendBatch(KindRelease)
+}
+
+// giveUp cancels a claim that was not granted and frees the seats that promised.
+func (n *Node) giveUp(l *lease) {
+	item := LeaseItem{Service: l.service, Slice: l.slice, Round: l.round}
+	for _, a := range l.asked {
+		if a != n.self.Address {
+			n.batch.add(a, item, l.slot.size)
+		}
+	}
+	if l.to == (claimant{n.self.Address, n.self.Incarnation}) {
+		l.expires = n.now
+	}
+	l.round = 0
+}
+
+// Release gives the lease back when the holder has finished its work.
+func (n *Node) Release(now time.Time, service string, slice int) []Output {
+	n.see(now)
+	l := n.leases[sliceKey{service, slice}]
+	if l == nil || !l.held {
+		return n.take()
+	}
+	item := LeaseItem{Service: service, Slice: slice, Round: l.round, Held: true}
+	for _, a := range l.asked {
+		if a != n.self.Address {
+			n.batch.add(a, item, jsonSize(service))
+		}
+	}
+	n.free(l, claimant{n.self.Address, n.self.Incarnation}, item)
+	n.lose(l)
+	l.nextClaim = n.now.Add(LeaseTime)
+	n.sendBatch(KindRelease)
+	return n.take()
+}
+
+// isUsable reports whether the holder may send work now. After a pause it must renew first.
+func (l *lease) isUsable(n *Node) bool {
+	return l.held && n.now.Before(l.end) && !l.renewedAt.Before(n.resumed)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// batch collects the lease items of one kind for each destination.
+type batch struct {
+	to    []netip.AddrPort
+	items map[netip.AddrPort][]sizedItem
+}
+
+type sizedItem struct {
+	LeaseItem
+	size int
+}
+
+// itemSize is the most bytes that a lease item takes besides the name of the service.
+const itemSize = 190
+
+func (b *batch) empty() bool { return len(b.to) == 0 }
+
+func (b *batch) add(to netip.AddrPort, it LeaseItem, nameSize int) {
+	if b.items == nil {
+		b.items = make(map[netip.AddrPort][]sizedItem)
+	}
+	if len(b.items[to]) == 0 {
+		b.to = append(b.to, to)
+	}
+	b.items[to] = append(b.items[to], sizedItem{it, itemSize + nameSize})
+}
+
+// sendBatch sends the collected items in as few messages as they fit in.
+func (n *Node) sendBatch(k Kind) {
+	for _, to := range n.batch.to {
+		m, room := n.message(k), MaxMessage-envelopeSize
+		for _, it := range n.batch.items[to] {
+			if it.size > room && len(m.Leases) > 0 {
+				n.send(to, m)
+				m, room = n.message(k), MaxMessage-envelopeSize
+			}
+			room -= it.size
+			m.Leases = append(m.Leases, it.LeaseItem)
+		}
+		n.send(to, m)
+		n.batch.items[to] = n.batch.items[to][:0]
+	}
+	n.batch.to = n.batch.to[:0]
+	if len(n.batch.items) > batchLimit {
+		n.batch.items = nil
+	}
+}
+
+// batchLimit bounds the destinations for which buffers are kept.
+const batchLimit = 64
--- /dev/null
+++ b/fleet/message.go
@@ -0,0 +1,133 @@
+package fleet
+
+import (
+	"encoding/json"
+	"net/netip"
+	"time"
+)
+
+// MaxMessage is the largest control message in bytes as JSON.
+const MaxMessage = 1200
+
+// Kind is the type of a control message.
+type Kind string
+
+// Kinds of control messages. Update carries piggybacked items only and is not acknowledged.
+const (
+	KindHeartbeat Kind = "Heartbeat"
+	KindAck       Kind = "Ack"
+	KindUpdate    Kind = "Update"
+	KindClaim     Kind = "Claim"
+	KindPromise   Kind = "Promise"
+	KindDeny      Kind = "Deny"
+	KindRelease   Kind = "Release"
+)
+
+// Message is one control message. Each carries the sender's incarnation, the version and hash of
+// its configuration and a digest of its view, and any of them may carry updates and notes.
+type Message struct {
+	Kind        Kind  `json:"Kind"`
+	Incarnation int64 `json:"Incarnation"`
+	// Serial numbers heartbeats; an Ack repeats the number that it answers.
+	Serial  uint64 `json:"Serial,omitempty"`
+	Version uint64 `json:"Version,omitempty"`
+	Hash    string `json:"Hash,omitempty"`
+	// Digest covers the members that are not Down, and the notes. It is set in Heartbeat and Ack.
+	Digest  uint64      `json:"Digest,omitempty"`
+	Leases  []LeaseItem `json:"Leases,omitempty"`
+	Updates []Update    `json:"Updates,omitempty"`
+	Notes   []Note      `json:"Notes,omitempty"`
+}
+
+// LeaseItem is the part of a Claim, Promise, Deny or Release that concerns one slice.
+type LeaseItem struct {
+	Service string `json:"Service"`
+	Slice   int    `json:"Slice,omitempty"`
+	// Round numbers the claims of a claimant. Answers repeat it.
+	Round uint64 `json:"Round"`
+	// Held in a Claim means that the claimant holds the lease and renews it.
+	Held bool `json:"Held,omitempty"`
+	// Weak in a Claim means that the claimant's own seat does not promise it the slice yet.
+	Weak bool `json:"Weak,omitempty"`
+	// Holder in a Deny is the node to which the seat has promised the slice.
+	Holder netip.AddrPort `json:"Holder,omitzero"`
+	// Left in a Deny is the number of milliseconds for which the promise lasts.
+	Left int64 `json:"Left,omitempty"`
+}
+
+// Update is news about a member. Observer is set when the state is Suspect.
+type Update struct {
+	Member
+	Observer netip.AddrPort `json:"Observer,omitzero"`
+}
+
+// Note is a small item that is flooded to all members and kept until it expires. A note replaces
+// one with the same ID that expires earlier.
+type Note struct {
+	ID      string          `json:"Id"`
+	Kind    string          `json:"Kind"`
+	Body    json.RawMessage `json:"Body,omitempty"`
+	Expires time.Time       `json:"Expires"`
+}
+
+// Table is the whole view of a node, which a joining node gets from one peer.
+type Table struct {
+	Members []Member `json:"Members"`
+	Notes   []Note   `json:"Notes,omitempty"`
+}
+
+// Output is one reaction of a Node: a message to send to To, or an event.
+type Output struct {
+	To      netip.AddrPort
+	Message *Message
+	Event   *Event
+}
+
+// EventKind is the type of an event.
+type EventKind string
+
+// Kinds of events.
+const (
+	// MemberUp, MemberLeaving and MemberDown tell of a member's change of state.
+	MemberUp      EventKind = "MemberUp"
+	MemberLeaving EventKind = "MemberLeaving"
+	MemberDown    EventKind = "MemberDown"
+	// LeaseGained and LeaseRenewed carry the end of the lease of Service and Slice.
+	LeaseGained  EventKind = "LeaseGained"
+	LeaseRenewed EventKind = "LeaseRenewed"
+	// LeaseLost tells that the lease has ended or was released.
+	LeaseLost EventKind = "LeaseLost"
+	// ConfigNewer asks the caller to pull the configuration from Peer, which has Version.
+	ConfigNewer EventKind = "ConfigNewer"
+	// ConfigConflict tells that Peer has another document of the version in force here.
+	ConfigConflict EventKind = "ConfigConflict"
+	// TableWanted asks the caller to get the member table from Peer and to call Merge.
+	TableWanted EventKind = "TableWanted"
+	// NoteReceived carries a note that is new here.
+	NoteReceived EventKind = "NoteReceived"
+	// BecameReady tells that the node may serve.
+	BecameReady EventKind = "BecameReady"
+)
+
+// Event is something that the caller may act on or log.
+type Event struct {
+	Kind    EventKind
+	Member  Member
+	Service string
+	Slice   int
+	End     time.Time
+	Peer    netip.AddrPort
+	Version uint64
+	Hash    string
+	Note    Note
+}
+
+// jsonSize returns the length of v as JSON with the comma that separates it from the next one.
+// The types measured here always encode.
+func jsonSize(v any) int {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return MaxMessage
+	}
+	return len(b) + 1
+}
--- /dev/null
+++ b/fleet/ring.go
@@ -0,0 +1,87 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+)
+
+// ringCount is the number of hash rings, and so of the observers of a member.
+const ringCount = 3
+
+// ring orders the members that are up by a hash of their address.
+type ring []spot
+
+type spot struct {
+	position uint64
+	record   *record
+}
+
+func ringPosition(ring int, hash uint64) uint64 {
+	return mix(hash + uint64(ring+1)*0x9e3779b97f4a7c15)
+}
+
+func (g ring) find(position uint64) (int, bool) {
+	return slices.BinarySearchFunc(g, position, func(s spot, p uint64) int {
+		return cmp.Compare(s.position, p)
+	})
+}
+
+func (g *ring) add(position uint64, r *record) {
+	i, _ := g.find(position)
+	*g = slices.Insert(*g, i, spot{position, r})
+}
+
+func (g *ring) remove(position uint64, r *record) {
+	i, ok := g.find(position)
+	if ok && (*g)[i].record == r {
+		*g = slices.Delete(*g, i, i+1)
+	}
+}
+
+// at returns the record at an index that may lie outside the ring by up to its length.
+func (g ring) at(i int) *record {
+	return g[(i+len(g))%len(g)].record
+}
+
+// observersOf returns the members that watch r: on each ring the nearest predecessor that no
+// earlier ring gave. So every member has three observers as soon as the fleet is large enough.
+func (t *table) observersOf(r *record, into []*record) []*record {
+	into = into[:0]
+	for i, g := range t.rings {
+		at, ok := g.find(ringPosition(i, r.hash))
+		if !ok {
+			return into
+		}
+		for k := 1; k < len(g); k++ {
+			p := g.at(at - k)
+			if !slices.Contains(into, p) {
+				into = append(into, p)
+				break
+			}
+		}
+	}
+	return into
+}
+
+// observedBy returns the members that r watches. A predecessor is skipped at most once for each
+// other ring, so only the next few successors can qualify.
+func (t *table) observedBy(r *record) []*record {
+	var watched, scratch []*record
+	for i, g := range t.rings {
+		at, ok := g.find(ringPosition(i, r.hash))
+		if !ok {
+			return watched
+		}
+		for k := 1; k <= ringCount && k < len(g); k++ {
+			s := g.at(at + k)
+			if slices.Contains(watched, s) {
+				continue
+			}
+			scratch = t.observersOf(s, scratch)
+			if slices.Contains(scratch, r) {
+				watched = append(watched, s)
+			}
+		}
+	}
+	return watched
+}
