peer: run the state machine over UDP and HTTP between nodes

Cause: the state machine needs sockets, a clock and authentication, and planners need typed requests to homes and issuers.

--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,156 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/wire"
+	"github.com/matryer/is"
+)
+
+var testKey = []byte("0123456789abcdef")
+
+const deadline = 15 * time.Second
+
+// member is one node under test with the document that it has installed.
+type member struct {
+	*Node
+	mu  sync.Mutex
+	raw []byte
+	doc conf.Document
+}
+
+func (m *member) install(raw []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var doc conf.Document
+	if err := json.Unmarshal(raw, &doc); err != nil {
+		return err
+	}
+	if err := m.Install(&doc, fmt.Sprint("hash", doc.Version)); err != nil {
+		return err
+	}
+	m.raw, m.doc = raw, doc
+	return nil
+}
+
+// start runs a node until the test ends.
+func start(t *testing.T, domain string, change func(*Config)) *member {
+	t.Helper()
+	m := &member{}
+	c := Config{
+		Member: fleet.Member{
+			Address: netip.MustParseAddrPort("127.0.0.1:0"), FailureDomain: domain,
+			Caller: netip.MustParseAddrPort("127.0.0.1:1"),
+		},
+		Keys: [][]byte{testKey},
+		Handlers: Handlers{
+			Document: func(uint64, string) (Document, error) {
+				m.mu.Lock()
+				defer m.mu.Unlock()
+				return Document{Version: m.doc.Version, Hash: "x", Body: m.raw}, nil
+			},
+			Pulled: func(d Document) error { return m.install(d.Body) },
+		},
+	}
+	if change != nil {
+		change(&c)
+	}
+	n, err := New(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Node = n
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return m
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(deadline); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not reached within %s: %s", deadline, what)
+}
+
+func listed(members []*member) []wire.VM {
+	var vms []wire.VM
+	for _, m := range members {
+		vms = append(vms, wire.VM{Address: m.Self().Address, Role: wire.RoleEntry, State: wire.VMLive})
+	}
+	return vms
+}
+
+func document(version uint64) []byte {
+	raw, _ := json.Marshal(conf.Document{
+		Version: version,
+		FailureDomains: []conf.FailureDomain{
+			{Name: "a", State: conf.DomainIn},
+			{Name: "b", State: conf.DomainIn},
+			{Name: "c", State: conf.DomainIn},
+		},
+		Services: []conf.Service{{Name: "ledger"}, {Name: "school"}},
+	})
+	return raw
+}
+
+// A document that one node has installed must reach the others, and each slice must get exactly
+// one home that the others name.
+func TestNodesFormFleet(t *testing.T) {
+	is := is.New(t)
+	var members []*member
+	for _, d := range []string{"a", "b", "c"} {
+		members = append(members, start(t, d, nil))
+	}
+	is.NoErr(members[0].install(document(7)))
+	for _, m := range members {
+		m.SetVMs(listed(members))
+	}
+	eventually(t, "all ready with version 7", func() bool {
+		ready := 0
+		for _, m := range members {
+			if v, _ := m.Version(); v == 7 && m.Ready() {
+				ready++
+			}
+		}
+		return ready == len(members)
+	})
+	for _, service := range []string{"ledger", "school"} {
+		eventually(t, "one holder of "+service, func() bool {
+			var holder fleet.Member
+			holders := 0
+			for _, m := range members {
+				if _, ok := m.Lease(service, 0); ok {
+					holder = m.Self()
+					holders++
+				}
+			}
+			if holders != 1 {
+				return false
+			}
+			for _, m := range members {
+				if h, ok := m.Home(service, 0); !ok || h.Address != holder.Address {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,164 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/wire"
+	"github.com/cockroachdb/errors"
+)
+
+// Paths of the HTTP interface between nodes.
+const (
+	pathSlice   = "/peer/slice"
+	pathOrder   = "/peer/order"
+	pathExecute = "/peer/execute"
+	pathConfig  = "/peer/config"
+	pathMembers = "/peer/members"
+)
+
+// Time limits and sizes of the HTTP server.
+const (
+	headerTimeout  = 5 * time.Second
+	requestTimeout = 30 * time.Second
+	serverIdle     = 90 * time.Second
+	headerBytes    = 16 << 10
+)
+
+func newServer(n *Node) *http.Server {
+	mux := http.NewServeMux()
+	h := n.config.Handlers
+	mux.Handle("POST "+pathSlice, endpoint(n, h.Slice, sliceDeadline, true))
+	mux.Handle("POST "+pathOrder, endpoint(n, h.Order, orderDeadline, false))
+	mux.Handle("POST "+pathExecute, endpoint(n, h.Execute, executeDeadline, false))
+	mux.Handle("GET "+pathConfig, n.guard(n.answerConfig))
+	mux.Handle("GET "+pathMembers, n.guard(func(*http.Request, []byte) (any, error) {
+		return ask(n, func(_ time.Time, f *fleet.Node) fleet.Table { return f.Table() }), nil
+	}))
+	return &http.Server{
+		Handler: mux, TLSConfig: n.config.ServerTLS, MaxHeaderBytes: headerBytes,
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, IdleTimeout: serverIdle,
+		// An empty map turns HTTP/2 off: one request at a time on a connection makes it possible to
+		// tell whether its bytes were written.
+		TLSNextProto: make(map[string]func(*http.Server, *tls.Conn, http.Handler)),
+	}
+}
+
+func sliceDeadline(q wire.SliceQuery) time.Time { return q.Deadline }
+func orderDeadline(o wire.OrderRelay) time.Time { return o.Deadline }
+func executeDeadline(e wire.Execute) time.Time  { return e.Deadline }
+
+func (n *Node) serveHTTP() error {
+	var err error
+	if n.config.ServerTLS != nil {
+		err = n.server.ServeTLS(n.listener, "", "")
+	} else {
+		err = n.server.Serve(n.listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "peer: serve HTTP")
+}
+
+// endpoint decodes the body, bounds the work by its deadline and calls the handler. With cancel the
+// work ends when the client goes away.
+func endpoint[Q, A any](
+	n *Node, handle func(context.Context, Q) (A, error), deadline func(Q) time.Time, cancel bool,
+) http.Handler {
+	return n.guard(func(r *http.Request, body []byte) (any, error) {
+		if handle == nil {
+			return nil, n.refuse(wire.StepReady, wire.ReasonNotReady, "the node does not serve %s", r.URL.Path)
+		}
+		var q Q
+		if err := json.Unmarshal(body, &q); err != nil {
+			return nil, n.refuse(wire.StepDecode, wire.ReasonBadRequest, "%v", err)
+		}
+		end := deadline(q)
+		if !time.Now().Before(end) {
+			return nil, n.refuse(wire.StepDecode, wire.ReasonDeadline, "the deadline passed before the request arrived")
+		}
+		ctx := r.Context()
+		if !cancel {
+			ctx = context.WithoutCancel(ctx)
+		}
+		ctx, stop := context.WithDeadline(ctx, end)
+		defer stop()
+		return handle(ctx, q)
+	})
+}
+
+func (n *Node) refuse(step wire.Step, reason wire.Reason, format string, args ...any) *wire.Failure {
+	return wire.Refuse(step, n.config.Member.Address.String(), reason, format, args...)
+}
+
+// guard authenticates a request and writes the answer or the failure, signed.
+func (n *Node) guard(serve func(*http.Request, []byte) (any, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := n.authenticate(w, r)
+		var answer any
+		if err == nil {
+			answer, err = serve(r, body)
+		}
+		status := http.StatusOK
+		if err != nil {
+			f := wire.AsFailure(err)
+			answer, status = f, f.Status()
+		}
+		encoded, err := json.Marshal(answer)
+		if err != nil {
+			n.config.Log.Error("peer: encode answer", "path", r.URL.Path, "error", err)
+			http.Error(w, "", http.StatusInternalServerError)
+			return
+		}
+		tag := responseTag(n.config.Keys[0], r.Header.Get(wire.HeaderFleetAuth), status, encoded)
+		w.Header().Set(wire.HeaderFleetAuth, tag)
+		w.Header().Set(wire.HeaderFleetProtocol, wire.FleetProtocol)
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+		w.WriteHeader(status)
+		if _, err := w.Write(encoded); err != nil {
+			n.config.Log.Debug("peer: write answer", "path", r.URL.Path, "peer", r.RemoteAddr, "error", err)
+		}
+	})
+}
+
+// authenticate reads the body and checks protocol and signature. Its failures say "not run".
+func (n *Node) authenticate(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if p := r.Header.Get(wire.HeaderFleetProtocol); p != wire.FleetProtocol {
+		return nil, n.refuse(wire.StepAuth, wire.ReasonBadRequest, "protocol %q, want %q", p, wire.FleetProtocol)
+	}
+	var buf bytes.Buffer
+	buf.Grow(int(min(max(r.ContentLength, 0), headerBytes)))
+	if _, err := io.Copy(&buf, http.MaxBytesReader(w, r.Body, n.config.Limits.RequestBytes)); err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return nil, n.refuse(wire.StepDecode, wire.ReasonTooLarge, "body over %d bytes", large.Limit)
+		}
+		return nil, n.refuse(wire.StepDecode, wire.ReasonBadRequest, "body is truncated: %v", err)
+	}
+	err := verify(n.config.Keys, time.Now(), r.Header.Get(wire.HeaderFleetAuth),
+		r.Method, n.config.Member.Address.String(), r.URL.RequestURI(), buf.Bytes())
+	if err != nil {
+		return nil, n.refuse(wire.StepAuth, wire.ReasonUnauthorized, "%v", err)
+	}
+	return buf.Bytes(), nil
+}
+
+func (n *Node) answerConfig(r *http.Request, _ []byte) (any, error) {
+	if n.config.Handlers.Document == nil {
+		return nil, n.refuse(wire.StepReady, wire.ReasonNotReady, "the node has no document")
+	}
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		return nil, n.refuse(wire.StepDecode, wire.ReasonBadRequest, "from: %v", err)
+	}
+	return n.config.Handlers.Document(from, r.URL.Query().Get("hash"))
+}
