--- /dev/null
+++ b/guard/proven.go
@@ -0,0 +1,79 @@
+package guard
+
+import (
+	"container/list"
+	"time"
+)
+
+// Proven is a set of fingerprints that have succeeded lately. When it is full, the one that
+// succeeded the longest ago is dropped.
+type Proven struct {
+	limit    int
+	lifetime time.Duration
+	items    map[Fingerprint]*list.Element
+	// order lists the items, the newest success first.
+	order *list.List
+}
+
+type success struct {
+	fingerprint Fingerprint
+	at          time.Time
+}
+
+// NewProven returns an empty set of at most limit fingerprints that each stay for the lifetime
+// after their last success.
+func NewProven(limit int, lifetime time.Duration) *Proven {
+	return &Proven{
+		limit: limit, lifetime: lifetime,
+		items: make(map[Fingerprint]*list.Element), order: list.New(),
+	}
+}
+
+// Add records a success.
+func (p *Proven) Add(now time.Time, f Fingerprint) {
+	if e := p.items[f]; e != nil {
+		e.Value = success{f, now}
+		p.order.MoveToFront(e)
+		return
+	}
+	if len(p.items) >= p.limit {
+		p.remove(p.order.Back())
+	}
+	p.items[f] = p.order.PushFront(success{f, now})
+}
+
+// Has reports whether the fingerprint succeeded within the lifetime.
+func (p *Proven) Has(now time.Time, f Fingerprint) bool {
+	e := p.items[f]
+	return e != nil && now.Sub(e.Value.(success).at) < p.lifetime
+}
+
+// Remove forgets the fingerprint.
+func (p *Proven) Remove(f Fingerprint) {
+	if e := p.items[f]; e != nil {
+		p.remove(e)
+	}
+}
+
+// Expire drops the fingerprints beyond their lifetime.
+func (p *Proven) Expire(now time.Time) {
+	for e := p.order.Back(); e != nil && now.Sub(e.Value.(success).at) >= p.lifetime; e = p.order.Back() {
+		p.remove(e)
+	}
+}
+
+// Clear forgets all fingerprints.
+func (p *Proven) Clear() {
+	clear(p.items)
+	p.order.Init()
+}
+
+// Len returns the number of fingerprints.
+func (p *Proven) Len() int {
+	return len(p.items)
+}
+
+func (p *Proven) remove(e *list.Element) {
+	delete(p.items, e.Value.(success).fingerprint)
+	p.order.Remove(e)
+}
