--- a/limit/queue.go
+++ b/limit/queue.go
@@ -49,6 +49,18 @@
 	return q.remove(q.least()), true
 }
 
+// Ahead returns the number of waiting requests that would be served before one with this worth and
+// deadline.
+func (q *Queue[T]) Ahead(worth float64, deadline time.Time) int {
+	n := 0
+	for _, it := range q.items {
+		if it.worth > worth || (it.worth == worth && it.deadline.Before(deadline)) {
+			n++
+		}
+	}
+	return n
+}
+
 // Peek returns the first request without taking it.
 func (q *Queue[T]) Peek() (T, bool) {
 	if len(q.items) == 0 {
--- a/limit/server.go
+++ b/limit/server.go
@@ -18,16 +18,19 @@
 )
 
 const (
-	// jumpFactor is the ratio to the warm latency that counts as a jump.
-	jumpFactor = 4
+	// jumpFactor is the ratio to the warm latency that counts as a jump. Latencies include the
+	// network, so a cold server that is three times as slow shows less than that.
+	jumpFactor = 1.8
 	// jumpAnswers is the number of answers in a row above jumpFactor that make a server cold. A
 	// single straggler must not.
 	jumpAnswers = 3
-	// warmFactor is the ratio to the warm latency up to which an answer counts toward the ramp.
-	warmFactor = 2
-	// answersPerStep is the number of clean answers, for each request of the allowance, before
-	// the allowance doubles.
-	answersPerStep = 2
+	// warmFactor is the ratio to the warm latency up to which a window counts as warm.
+	warmFactor = 1.5
+	// windowAnswers is the number of answers from which the ramp decides on a step.
+	windowAnswers = 8
+	// plateau is the ratio of the latencies of two windows above which the latency counts as no
+	// longer falling.
+	plateau = 0.9
 	// baselineWeight is the weight of a new sample in the warm latency.
 	baselineWeight = 0.05
 )
@@ -54,7 +57,9 @@
 	config      ServerConfig
 	allowance   int
 	inUse       int
-	clean       int
+	window      int
+	sum         time.Duration
+	lastMean    time.Duration
 	jumps       int
 	incarnation string
 	baseline    time.Duration
@@ -123,11 +128,22 @@
 // SetCold lowers the allowance to what a cold server bears.
 func (s *Server) SetCold(cause ColdCause) {
 	s.allowance = min(max(1, s.config.ColdSlots), s.config.Slots)
-	s.clean = 0
+	s.window, s.sum, s.lastMean = 0, 0, 0
 	s.jumps = 0
 	s.cause = cause
 }
 
+// Restarted records the incarnation that a health endpoint reports and tells whether it is another
+// one than before. An empty incarnation tells nothing.
+func (s *Server) Restarted(incarnation string) bool {
+	if incarnation == "" || incarnation == s.incarnation {
+		return false
+	}
+	known := s.incarnation != ""
+	s.incarnation = incarnation
+	return known
+}
+
 // Observe includes an answer and reports whether it shows that the server has turned cold.
 func (s *Server) Observe(v Sample) bool {
 	known := s.incarnation
@@ -150,7 +166,7 @@
 }
 
 func (s *Server) jumped(latency time.Duration) bool {
-	if s.Cold() || s.baseline == 0 || latency < jumpFactor*s.baseline {
+	if s.Cold() || s.baseline == 0 || float64(latency) < jumpFactor*float64(s.baseline) {
 		s.jumps = 0
 		return false
 	}
@@ -158,32 +174,46 @@
 	return s.jumps >= jumpAnswers
 }
 
-// ramp doubles the allowance after a window of answers at the warm latency. A slow answer only
-// starts the window again, so one straggler does not undo the ramp.
+// ramp doubles the allowance after a window of answers that shows a warm server: at the warm
+// latency, or, when none is known, at a latency that has stopped falling. A slow answer only makes
+// its window fail, so one straggler does not undo the ramp.
 func (s *Server) ramp(latency time.Duration) {
-	if s.baseline != 0 && s.Cold() && latency > warmFactor*s.baseline {
-		s.clean = 0
+	if !s.Cold() {
+		s.learn(latency)
 		return
 	}
-	s.learn(latency)
-	if !s.Cold() {
+	s.window++
+	s.sum += latency
+	if s.window < windowAnswers {
 		return
 	}
-	s.clean++
-	if s.clean < answersPerStep*s.allowance {
+	mean := s.sum / windowAnswers
+	last := s.lastMean
+	s.window, s.sum, s.lastMean = 0, 0, mean
+	if !s.warmed(mean, last) {
 		return
 	}
-	s.clean = 0
+	if s.baseline == 0 {
+		s.baseline = mean
+	}
 	s.allowance = min(2*s.allowance, s.config.Slots)
 }
 
+func (s *Server) warmed(mean, last time.Duration) bool {
+	if s.baseline != 0 {
+		return float64(mean) <= warmFactor*float64(s.baseline)
+	}
+	return last != 0 && float64(mean) > plateau*float64(last)
+}
+
 // learn keeps the latency of a warm server. Outliers are left out, so that stragglers do not
 // raise it until a cold server looks warm.
 func (s *Server) learn(latency time.Duration) {
-	switch {
-	case s.baseline == 0 || (s.Cold() && latency < s.baseline):
+	if s.baseline == 0 {
 		s.baseline = latency
-	case latency < jumpFactor*s.baseline:
+		return
+	}
+	if float64(latency) < jumpFactor*float64(s.baseline) {
 		s.baseline += time.Duration(baselineWeight * float64(latency-s.baseline))
 	}
 }
--- /dev/null
+++ b/sched/canary.go
@@ -0,0 +1,133 @@
+package sched
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/guard"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+func (s *Slice) guarded(j *job) guard.Request[JobID] {
+	return guard.Request[JobID]{ID: j.id, Fingerprint: j.Fingerprint, Service: s.config.Service, Kind: j.Kind}
+}
+
+// begin starts the canary, all tasks, or neither while another request with the same fingerprint
+// runs its canary.
+func (s *Slice) begin(now time.Time, j *job, out *Actions) {
+	j.waits = false
+	if j.Proven {
+		s.scatter(now, j, out)
+		return
+	}
+	switch d := s.guard.Begin(now, s.guarded(j)); d.Action {
+	case guard.Proceed:
+		s.scatter(now, j, out)
+	case guard.RunCanary:
+		j.alone = d.Alone
+		j.canary = s.canaryTask(j)
+		s.launch(now, j.canary, Canary, out)
+	case guard.Wait:
+		j.waits = true
+		out.event("waits for canary", j.RequestID, none, "")
+	case guard.Refuse:
+		s.quarantined(now, j, d, out)
+	}
+}
+
+// canaryTask picks the first task. A task that an earlier canary has already tried stays the
+// canary, so that it avoids the server that crashed.
+func (s *Slice) canaryTask(j *job) *task {
+	for _, t := range j.tasks {
+		if t.open && t.tries > 0 {
+			return t
+		}
+	}
+	return j.tasks[s.rand.IntN(len(j.tasks))]
+}
+
+func (s *Slice) quarantined(now time.Time, j *job, d guard.Decision, out *Actions) {
+	out.event("request quarantined", j.RequestID, none, "")
+	f := wire.Refuse(wire.StepCanary, "", d.Reason, "the request crashed backend servers and is quarantined")
+	if !d.Until.IsZero() {
+		f = f.After(d.Until.Sub(now))
+	}
+	f.NotRun = !j.sent
+	s.refuse(j, f, out)
+}
+
+func (s *Slice) scatter(now time.Time, j *job, out *Actions) {
+	for _, t := range j.tasks {
+		if j.ended {
+			return
+		}
+		if t.open && t.inFlight() == 0 {
+			s.launch(now, t, Primary, out)
+		}
+	}
+}
+
+func (s *Slice) canaryPassed(now time.Time, j *job, out *Actions) {
+	j.canary, j.alone = nil, false
+	report := s.guard.Succeeded(now, s.guarded(j))
+	if j.open > 0 {
+		s.scatter(now, j, out)
+	}
+	s.follow(now, report, out)
+}
+
+// follow passes on a changed mark and starts the requests that waited for a canary.
+func (s *Slice) follow(now time.Time, r guard.Report[JobID], out *Actions) {
+	if r.Note != nil {
+		out.Notes = append(out.Notes, r.Note)
+	}
+	for _, id := range r.Resume {
+		if w := s.jobs[id]; w != nil && !w.ended && w.waits {
+			s.begin(now, w, out)
+		}
+	}
+}
+
+// crashed records the crash of a server under an attempt and reports whether that settled what
+// the request does next. Only a canary is marked: any other request was one of several.
+func (s *Slice) crashed(now time.Time, a *attempt, out *Actions) bool {
+	t, j := a.task, a.task.job
+	out.event("server crashed", j.RequestID, a.server.address, "")
+	report := s.guard.Crashed(now, s.guarded(j), a.server.address)
+	if j.canary != t {
+		s.follow(now, report, out)
+		return false
+	}
+	j.canary = nil
+	t.tried = append(t.tried, a.server)
+	if j.Idempotent {
+		s.begin(now, j, out)
+	}
+	s.follow(now, report, out)
+	return j.Idempotent
+}
+
+// leaveCanary ends the part of a request in a canary when the request ends without an outcome.
+func (s *Slice) leaveCanary(now time.Time, j *job, out *Actions) {
+	if j.waits {
+		s.guard.Leave(s.guarded(j))
+	}
+	if j.canary == nil {
+		return
+	}
+	var server netip.AddrPort
+	if n := len(j.canary.attempts); n > 0 {
+		server = j.canary.attempts[n-1].server.address
+	}
+	s.follow(now, s.guard.Ended(now, s.guarded(j), server, server.IsValid()), out)
+}
+
+// Merge takes over a mark from a peer and reports whether it was news.
+func (s *Slice) Merge(now time.Time, n guard.Note) bool {
+	return s.guard.Merge(now, n)
+}
+
+// Marks returns the marks and quarantined fingerprints for operators.
+func (s *Slice) Marks(now time.Time) []guard.Note {
+	return s.guard.List(now)
+}
--- /dev/null
+++ b/sched/server.go
@@ -0,0 +1,198 @@
+package sched
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/limit"
+	"github.com/arbutusthread/arbutusthread/route"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// drainMemory is how long a server that said that it drains gets no work, whatever its health
+// endpoint says, unless it restarts: the endpoint lags.
+const drainMemory = 10 * time.Second
+
+// ServerView is a backend server with what the configuration and the platform say of it.
+type ServerView struct {
+	conf.BackendServer
+	// Unusable is why the server must get no new work; empty means that it may.
+	Unusable string
+}
+
+type server struct {
+	address  netip.AddrPort
+	permits  *limit.Server
+	average  route.Average
+	unusable string
+	draining time.Time
+	// committed is the number of requests that admitted work is expected to send here.
+	committed float64
+	waiting   []*task
+	// reserved is a task that must run here alone.
+	reserved *task
+	removed  bool
+	stops    bool
+}
+
+func (v *server) usable() bool {
+	return v.unusable == "" && !v.removed && !v.stops
+}
+
+// SetServers makes the slice use exactly these servers. A server that becomes usable again counts
+// as cold, so that a returning failure domain is not overrun.
+func (s *Slice) SetServers(now time.Time, views []ServerView) Actions {
+	var out Actions
+	known := make(map[netip.AddrPort]bool, len(views))
+	for _, w := range views {
+		known[w.Address] = true
+		s.setServer(w)
+	}
+	for a, v := range s.servers {
+		if !known[a] {
+			v.removed = true
+			delete(s.servers, a)
+		}
+	}
+	s.outlier.SetServers(s.addresses())
+	s.rewait(now, &out)
+	s.pump(now, &out)
+	return out
+}
+
+func (s *Slice) setServer(w ServerView) {
+	limits := limit.ServerConfig{Slots: w.Slots, ColdSlots: w.ColdSlots}
+	if s.config.IgnoreCold {
+		limits.ColdSlots = w.Slots
+	}
+	v := s.servers[w.Address]
+	if v == nil {
+		v = &server{address: w.Address, permits: limit.NewServer(limits)}
+		s.servers[w.Address] = v
+	}
+	v.permits.SetConfig(limits)
+	if v.unusable != "" && w.Unusable == "" {
+		v.permits.SetCold(limit.ColdDomainReturn)
+	}
+	v.unusable = w.Unusable
+}
+
+func (s *Slice) addresses() []netip.AddrPort {
+	list := make([]netip.AddrPort, 0, len(s.servers))
+	for a := range s.servers {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return list
+}
+
+// Health includes a report of a health endpoint. It can only take work away from a server, since
+// such reports lag or mislead: Ready does not end a cold start, and ends a drain only after a
+// while.
+func (s *Slice) Health(now time.Time, address netip.AddrPort, h wire.Health) Actions {
+	var out Actions
+	v := s.servers[address]
+	if v == nil {
+		return out
+	}
+	if v.permits.Restarted(h.Incarnation) {
+		v.stops = false
+		s.turnCold(now, v, limit.ColdNewIncarnation, &out)
+	}
+	switch h.State {
+	case wire.ServerDraining:
+		s.drain(now, v, &out)
+	case wire.ServerCold:
+		if !v.permits.Cold() {
+			s.turnCold(now, v, limit.ColdSaid, &out)
+		}
+	case wire.ServerReady:
+		if v.stops && !now.Before(v.draining) {
+			v.stops = false
+		}
+	}
+	return out
+}
+
+func (s *Slice) drain(now time.Time, v *server, out *Actions) {
+	if !v.stops {
+		out.event("server drains", "", v.address, "")
+	}
+	v.stops = true
+	v.draining = now.Add(drainMemory)
+	s.rewait(now, out)
+}
+
+// turnCold lowers the allowance and cancels the requests above it. Only idempotent requests can
+// be cancelled, because they run again elsewhere.
+func (s *Slice) turnCold(now time.Time, v *server, cause limit.ColdCause, out *Actions) {
+	if s.config.IgnoreCold {
+		return
+	}
+	v.permits.SetCold(cause)
+	s.cancelExcess(now, v, out)
+}
+
+func (s *Slice) cancelExcess(now time.Time, v *server, out *Actions) {
+	out.event("server cold", "", v.address, string(v.permits.Cause()))
+	excess := v.permits.Excess()
+	if excess == 0 {
+		return
+	}
+	for _, a := range s.newestAttempts(v) {
+		if excess == 0 {
+			return
+		}
+		if !a.task.job.Idempotent || a.cancelled {
+			continue
+		}
+		excess--
+		s.cancel(a, out)
+		if a.task.open && a.task.inFlight() == 0 {
+			s.retry(now, a.task, wire.ReasonBackend, true, out)
+		}
+	}
+}
+
+func (s *Slice) newestAttempts(v *server) []*attempt {
+	var list []*attempt
+	for _, a := range s.attempts {
+		if a.server == v {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b *attempt) int { return int(b.id) - int(a.id) })
+	return list
+}
+
+func (out *Actions) event(name, request string, address netip.AddrPort, detail string) {
+	out.Events = append(out.Events, Event{Name: name, RequestID: request, Server: address, Detail: detail})
+}
+
+// ServerStatus is what operators see of a server.
+type ServerStatus struct {
+	Server    netip.AddrPort `json:"Server"`
+	Allowance int            `json:"Allowance"`
+	InUse     int            `json:"InUse"`
+	Cold      bool           `json:"Cold"`
+	Ejected   bool           `json:"Ejected"`
+	Unusable  string         `json:"Unusable,omitempty"`
+	Draining  bool           `json:"Draining,omitempty"`
+	Latency   wire.Duration  `json:"Latency"`
+}
+
+// Status returns the state of all servers in the order of their addresses.
+func (s *Slice) Status(now time.Time) []ServerStatus {
+	list := make([]ServerStatus, 0, len(s.servers))
+	for _, a := range s.addresses() {
+		v := s.servers[a]
+		list = append(list, ServerStatus{
+			Server: a, Allowance: v.permits.Allowance(), InUse: v.permits.InUse(), Cold: v.permits.Cold(),
+			Ejected: s.outlier.Ejected(now, a), Unusable: v.unusable, Draining: v.stops,
+			Latency: wire.Duration(v.average.Value()),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/trial/report.go
@@ -0,0 +1,48 @@
+package trial
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// WriteText writes results as one table for each case.
+func WriteText(w io.Writer, results []Result) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	last := ""
+	for _, r := range results {
+		if r.Case != last {
+			last = r.Case
+			fmt.Fprintf(t, "\n%s (seed %d)\n", r.Case, r.Seed)
+			fmt.Fprintln(t, "policy\tp50\tp99\tp99.9\tideal p99\tcoverage\textra\tgoodput\tworth\tcold over+unseen\tcrashes\tsheds\tlast new work\tkinds answered")
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%.4f\t%.2f%%\t%.1f/s\t%.1f/s\t%d+%d of %d\t%d\t%d\t%s\t%s\n",
+			r.Policy, ms(r.P50), ms(r.P99), ms(r.P999), ms(r.IdealP99), r.Coverage, 100*r.Extra, r.Goodput, r.Worth,
+			r.ColdOver, r.ColdUnseen, r.ColdReceived, r.Crashes, r.Sheds, ms(r.LastNewWork), kinds(r))
+	}
+	return errors.Wrap(t.Flush(), "trial: write report")
+}
+
+func ms(d wire.Duration) string {
+	return fmt.Sprintf("%.1fms", float64(d)/float64(time.Millisecond))
+}
+
+func kinds(r Result) string {
+	names := make([]string, 0, len(r.Kinds))
+	for n := range r.Kinds {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	text := ""
+	for _, n := range names {
+		k := r.Kinds[n]
+		text += fmt.Sprintf("%s %d/%d ", n, k.Answered, k.Sent)
+	}
+	return text
+}
--- /dev/null
+++ b/trial/result.go
@@ -0,0 +1,137 @@
+package trial
+
+import (
+	"fmt"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/arbutusthread/arbutusthread/sched"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// Result holds the figures of one case with one policy.
+type Result struct {
+	Case   string                `json:"Case"`
+	Policy string                `json:"Policy"`
+	Seed   uint64                `json:"Seed"`
+	Kinds  map[string]KindResult `json:"Kinds"`
+	// P50, P99 and P999 are latencies of answered requests of all kinds.
+	P50  wire.Duration `json:"P50"`
+	P99  wire.Duration `json:"P99"`
+	P999 wire.Duration `json:"P999"`
+	// IdealP99 is that of a client that knows each service time beforehand and never queues.
+	IdealP99 wire.Duration `json:"IdealP99,omitempty"`
+	Coverage float64       `json:"Coverage"`
+	// Extra is the share of shard requests beyond one for each shard of an admitted request.
+	Extra float64 `json:"Extra"`
+	// Goodput is the number of answers a second; Worth weighs them by kind.
+	Goodput float64 `json:"Goodput"`
+	Worth   float64 `json:"Worth"`
+	// ColdOver is the number of requests that reached a cold server above what it bore, of
+	// ColdReceived in all, after its first answer could show that it is cold; ColdUnseen is the
+	// number before.
+	ColdOver     int `json:"ColdOver"`
+	ColdUnseen   int `json:"ColdUnseen"`
+	ColdReceived int `json:"ColdReceived"`
+	Crashes      int `json:"Crashes"`
+	Sheds        int `json:"Sheds"`
+	// LastNewWork is the longest time from taking a server out until its last new request.
+	LastNewWork wire.Duration `json:"LastNewWork"`
+	// FullUse is the time at which the last server was warm.
+	FullUse wire.Duration `json:"FullUse"`
+
+	latencies, ideals *hdr.Histogram
+	covered, asked    int
+	sends, firsts     int
+	span              time.Duration
+	warmup            time.Duration
+}
+
+// KindResult holds the figures of one kind of request.
+type KindResult struct {
+	Sent     int `json:"Sent"`
+	Answered int `json:"Answered"`
+	Refused  int `json:"Refused"`
+}
+
+func newResult(c Case, p Policy, seed uint64) Result {
+	return Result{
+		Case: c.Name, Policy: p.Name, Seed: seed, Kinds: make(map[string]KindResult),
+		latencies: hdr.New(1, time.Minute.Microseconds(), 3), ideals: hdr.New(1, time.Minute.Microseconds(), 3),
+		span: c.Duration - c.Warmup, warmup: c.Warmup,
+	}
+}
+
+func (r *Result) sent(v sched.Send) {
+	r.sends++
+	if v.Purpose == sched.Primary || v.Purpose == sched.Canary {
+		r.firsts++
+	}
+}
+
+func (r *Result) add(w *world, q *request, f sched.Finished) {
+	if q.arrived < r.warmup || q.poison {
+		return
+	}
+	k := r.Kinds[q.kind.Name]
+	k.Sent++
+	asked := len(w.tasks)
+	covered := asked - len(f.Missing)
+	if f.Failure != nil || float64(covered) < q.kind.MinCoverage*float64(asked) {
+		k.Refused++
+		r.Kinds[q.kind.Name] = k
+		return
+	}
+	k.Answered++
+	r.Kinds[q.kind.Name] = k
+	r.asked += asked
+	r.covered += covered
+	r.Goodput++
+	r.Worth += q.kind.Worth
+	// Latencies are below the range's minute, so recording cannot fail.
+	_ = r.latencies.RecordValue((w.now - q.arrived).Microseconds())
+	if q.ideal > 0 {
+		_ = r.ideals.RecordValue(q.ideal.Microseconds())
+	}
+}
+
+func (r *Result) close(w *world) {
+	at := func(h *hdr.Histogram, q float64) wire.Duration {
+		return wire.Duration(time.Duration(h.ValueAtQuantile(q)) * time.Microsecond)
+	}
+	r.P50, r.P99, r.P999 = at(r.latencies, 50), at(r.latencies, 99), at(r.latencies, 99.9)
+	r.IdealP99 = at(r.ideals, 99)
+	if r.asked > 0 {
+		r.Coverage = float64(r.covered) / float64(r.asked)
+	}
+	if r.firsts > 0 {
+		r.Extra = float64(r.sends-r.firsts) / float64(r.firsts)
+	}
+	r.Goodput /= r.span.Seconds()
+	r.Worth /= r.span.Seconds()
+	for _, v := range w.order {
+		r.addServer(v)
+	}
+}
+
+func (r *Result) addServer(v *modelServer) {
+	r.ColdOver += v.coldOver
+	r.ColdUnseen += v.coldUnseen
+	r.ColdReceived += v.coldReceived
+	r.Crashes += v.crashes
+	r.Sheds += v.sheds
+	r.FullUse = max(r.FullUse, wire.Duration(v.full))
+	if v.afterMark > 0 && v.markedAt > 0 {
+		r.LastNewWork = max(r.LastNewWork, wire.Duration(v.lastMarked-v.markedAt))
+	}
+}
+
+// Run runs a case with a policy. The same seed gives the same result.
+func Run(c Case, p Policy, seed uint64) Result {
+	return newWorld(c, p, seed).run()
+}
+
+func formatFactor(f float64) string {
+	return fmt.Sprintf("%gx", f)
+}
--- /dev/null
+++ b/trial/world.go
@@ -0,0 +1,358 @@
+package trial
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/guard"
+	"github.com/arbutusthread/arbutusthread/sched"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// epoch is the start of virtual time.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// lease is longer than any run, because leases are not what a trial measures.
+const lease = 24 * time.Hour
+
+// world is one run of one policy.
+type world struct {
+	setup   Case
+	policy  Policy
+	now     time.Duration
+	events  events
+	senders []*sender
+	servers map[netip.AddrPort]*modelServer
+	order   []*modelServer
+	tasks   []sched.Task
+	rand    *rand.Rand
+	result  Result
+	unused  map[netip.AddrPort]string
+	flights map[flightKey]*flight
+}
+
+// sender is one node's scheduler.
+type sender struct {
+	id    int
+	slice *sched.Slice
+	wake  time.Duration
+	jobs  map[sched.JobID]*request
+}
+
+// request is one arrival.
+type request struct {
+	id      string
+	kind    *Kind
+	arrived time.Duration
+	poison  bool
+	ideal   time.Duration
+}
+
+func newWorld(c Case, p Policy, seed uint64) *world {
+	w := &world{
+		setup: c, policy: p, servers: make(map[netip.AddrPort]*modelServer),
+		rand: rand.New(rand.NewPCG(seed, 7)), unused: make(map[netip.AddrPort]string),
+		flights: make(map[flightKey]*flight),
+	}
+	w.result = newResult(c, p, seed)
+	w.build(seed)
+	return w
+}
+
+func (w *world) build(seed uint64) {
+	for i := range w.setup.Servers {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(i >> 8), byte(i)}), uint16(10000+i))
+		v := newModelServer(w.setup.Model, seed, a)
+		w.servers[a] = v
+		w.order = append(w.order, v)
+	}
+	for i := range w.setup.Shards {
+		t := sched.Task{Shard: fmt.Sprintf("s%03d", i)}
+		for r := range w.setup.Replicas {
+			t.Servers = append(t.Servers, w.order[(i+r*max(1, len(w.order)/w.setup.Replicas))%len(w.order)].address)
+		}
+		w.tasks = append(w.tasks, t)
+	}
+	for i := range max(1, w.policy.Senders) {
+		c := sched.Config{Seed: seed + uint64(i), Preset: w.setup.Preset}
+		w.policy.Apply(&c, w)
+		s := &sender{id: i, slice: sched.New(c), jobs: make(map[sched.JobID]*request)}
+		s.slice.SetLease(epoch.Add(lease))
+		w.senders = append(w.senders, s)
+		w.carryOut(s, s.slice.SetServers(epoch, w.views()))
+	}
+}
+
+// views describes the servers as the configuration does.
+func (w *world) views() []sched.ServerView {
+	list := make([]sched.ServerView, len(w.order))
+	for i, v := range w.order {
+		list[i] = sched.ServerView{
+			BackendServer: conf.BackendServer{
+				Address: v.address, Slots: v.model.Slots, ColdSlots: v.model.ColdSlots,
+			},
+			Unusable: w.unused[v.address],
+		}
+	}
+	return list
+}
+
+func (w *world) run() Result {
+	for i := range w.setup.Kinds {
+		w.arrive(&w.setup.Kinds[i], 0)
+	}
+	for _, s := range w.setup.Script {
+		w.events.add(s.At, func() { s.Do(w) })
+	}
+	for {
+		e, ok := w.events.next()
+		if !ok || e.at > w.setup.Duration+drainTime {
+			break
+		}
+		w.now = e.at
+		e.do()
+	}
+	w.result.close(w)
+	return w.result
+}
+
+// drainTime is how long a run goes on after the last arrival.
+const drainTime = 2 * time.Second
+
+func (w *world) time() time.Time {
+	return epoch.Add(w.now)
+}
+
+func (w *world) arrive(k *Kind, n int) {
+	gap := time.Duration(w.rand.ExpFloat64() * float64(time.Second) / k.Rate)
+	at := w.now + gap
+	if at > w.setup.Duration {
+		return
+	}
+	w.events.add(at, func() {
+		w.submit(k, fmt.Sprintf("%s-%d", k.Name, n), false)
+		w.arrive(k, n+1)
+	})
+}
+
+func (w *world) submit(k *Kind, id string, poison bool) {
+	r := &request{id: id, kind: k, arrived: w.now, poison: poison}
+	s := w.senders[w.rand.IntN(len(w.senders))]
+	tasks := w.tasks
+	if !k.Idempotent {
+		tasks = tasks[:1]
+	}
+	if k.Idempotent && w.setup.Ideal {
+		r.ideal = w.ideal(r, tasks)
+	}
+	fp := guard.FingerprintOf("trial", k.Name, id)
+	job, out := s.slice.Submit(w.time(), sched.Request{
+		RequestID: id, Kind: k.Name, Worth: k.Worth, Deadline: w.time().Add(k.Timeout),
+		Idempotent: k.Idempotent, Fingerprint: fp, Proven: w.setup.Proven && !poison, Tasks: tasks,
+	})
+	s.jobs[job] = r
+	w.carryOut(s, out)
+}
+
+// ideal is the latency of a client that knows each service time beforehand and never queues.
+func (w *world) ideal(r *request, tasks []sched.Task) time.Duration {
+	var slowest time.Duration
+	for _, t := range tasks {
+		best := time.Duration(1 << 62)
+		for _, a := range t.Servers {
+			v := w.servers[a]
+			d := time.Duration(float64(v.draw(r.id, t.Shard)) * v.factor(w.now))
+			best = min(best, d)
+		}
+		slowest = max(slowest, best)
+	}
+	return slowest + 2*w.setup.Model.Network
+}
+
+func (w *world) carryOut(s *sender, out sched.Actions) {
+	for _, v := range out.Sends {
+		w.send(s, v)
+	}
+	for _, a := range out.Cancels {
+		w.cancel(s, a)
+	}
+	for _, f := range out.Finished {
+		w.finished(s, f)
+	}
+	w.schedule(s)
+}
+
+// schedule adds a tick at the time that the scheduler asks for.
+func (w *world) schedule(s *sender) {
+	at := s.slice.NextWake()
+	if at.IsZero() {
+		return
+	}
+	due := max(at.Sub(epoch), w.now)
+	if s.wake > w.now && s.wake <= due {
+		return
+	}
+	s.wake = due
+	w.events.add(due, func() {
+		if s.wake == due {
+			s.wake = 0
+		}
+		w.carryOut(s, s.slice.Tick(w.time()))
+	})
+}
+
+func (w *world) finished(s *sender, f sched.Finished) {
+	r := s.jobs[f.Job]
+	if r == nil {
+		// A request that is refused inside Submit has no entry yet.
+		w.events.add(w.now, func() { w.record(s, f) })
+		return
+	}
+	w.record(s, f)
+}
+
+func (w *world) record(s *sender, f sched.Finished) {
+	r := s.jobs[f.Job]
+	delete(s.jobs, f.Job)
+	w.result.add(w, r, f)
+}
+
+func (w *world) send(s *sender, v sched.Send) {
+	w.result.sent(v)
+	key := flightKey{sender: s.id, attempt: v.Attempt}
+	server := w.servers[v.Server]
+	server.received++
+	if server.markedAt > 0 && w.now >= server.markedAt {
+		server.afterMark++
+		server.lastMarked = w.now
+	}
+	if server.down {
+		w.answer(s, key, server.result(sched.Unsent, ""), w.now+2*w.setup.Model.Network)
+		return
+	}
+	f := &flight{key: key, server: server}
+	server.running[key] = f
+	w.flights[key] = f
+	w.events.add(w.now+w.setup.Model.Network, func() { w.received(s, f, v) })
+}
+
+func (w *world) received(s *sender, f *flight, v sched.Send) {
+	server := f.server
+	if f.ended {
+		return
+	}
+	if w.poisoned(s, v.Job) {
+		w.crash(server)
+		return
+	}
+	if server.cold() {
+		server.coldReceived++
+		if len(server.running) > server.bears() {
+			if server.shown > 0 && w.now-server.shown > 2*w.setup.Model.Network {
+				server.coldOver++
+			} else {
+				server.coldUnseen++
+			}
+		}
+		if w.overrun(server) {
+			return
+		}
+	} else if len(server.running) > server.model.Slots {
+		server.sheds++
+		w.end(s, f, server.result(sched.NotRun, wire.BackendShed))
+		return
+	}
+	took := time.Duration(float64(server.draw(v.RequestID, v.Shard)) * server.factor(w.now))
+	w.events.add(w.now+took, func() { w.served(s, f) })
+}
+
+// overrun crashes a cold server that has had more work than it bears for too long.
+func (w *world) overrun(v *modelServer) bool {
+	if len(v.running) <= v.bears() {
+		v.overSince = 0
+		return false
+	}
+	if v.overSince == 0 {
+		v.overSince = w.now
+	}
+	if w.now-v.overSince < overrunTime {
+		return false
+	}
+	w.crash(v)
+	return true
+}
+
+// overrunTime is how long a cold server stands more work than it bears.
+const overrunTime = 50 * time.Millisecond
+
+func (w *world) poisoned(s *sender, id sched.JobID) bool {
+	r := s.jobs[id]
+	return r != nil && r.poison
+}
+
+func (w *world) served(s *sender, f *flight) {
+	if f.ended {
+		return
+	}
+	f.server.served++
+	if len(f.server.running) <= f.server.bears() {
+		f.server.overSince = 0
+	}
+	if f.server.full == 0 && !f.server.cold() {
+		f.server.full = w.now
+	}
+	w.end(s, f, f.server.result(sched.OK, ""))
+}
+
+// end takes the request off the server and answers after the network delay.
+func (w *world) end(s *sender, f *flight, r sched.Result) {
+	f.ended = true
+	delete(f.server.running, f.key)
+	delete(w.flights, f.key)
+	if f.server.cold() && f.server.shown == 0 && r.Class != sched.Cancelled {
+		f.server.shown = w.now
+	}
+	w.answer(s, f.key, r, w.now+w.setup.Model.Network)
+}
+
+func (w *world) answer(s *sender, key flightKey, r sched.Result, at time.Duration) {
+	w.events.add(at, func() {
+		w.carryOut(s, s.slice.Done(w.time(), key.attempt, r))
+	})
+}
+
+func (w *world) cancel(s *sender, a sched.AttemptID) {
+	key := flightKey{sender: s.id, attempt: a}
+	w.events.add(w.now+w.setup.Model.Network, func() {
+		if f := w.flights[key]; f != nil {
+			w.end(s, f, sched.Result{Class: sched.Cancelled})
+		}
+	})
+}
+
+// crash ends all requests at the server, which comes back cold.
+func (w *world) crash(v *modelServer) {
+	v.crashes++
+	v.overSince = 0
+	v.down = true
+	for _, f := range sortedFlights(v.running) {
+		w.end(w.senders[f.key.sender], f, v.result(sched.Crashed, ""))
+	}
+	w.events.add(w.now+w.setup.Model.Restart, func() {
+		v.down = false
+		v.incarnation++
+		v.served = 0
+		v.full = 0
+		v.shown = 0
+	})
+}
+
+// turnCold makes a server cold without a sign to its clients.
+func (w *world) turnCold(v *modelServer) {
+	v.served = 0
+	v.full = 0
+	v.shown = 0
+}
