--- a/query/merge.go
+++ b/query/merge.go
@@ -87,6 +87,7 @@
 	m.settled[part.Slice] = true
 	m.sent = m.sent || !f.NotRun
 	m.reason = f.Reason
+	m.stale = m.stale || f.Reason == wire.ReasonVersion
 	for _, s := range part.Shards {
 		m.answer.Coverage.Missing = append(m.answer.Coverage.Missing, wire.MissingShard{Shard: s, Reason: f.Reason})
 	}
--- a/serve/explain.go
+++ b/serve/explain.go
@@ -2,18 +2,17 @@
 
 import (
 	"log/slog"
+	"math"
 	"net/netip"
 	"sync"
 	"time"
-)
 
-const (
-	// ringRequests is the number of requests whose decisions a node remembers.
-	ringRequests = 4096
-	// ringDecisions bounds the decisions of one request, twice the shards of the widest query.
-	ringDecisions = 320
+	"github.com/cespare/xxhash/v2"
 )
 
+// maxDecisions bounds the decisions of one request, about twice the shards of the widest query.
+const maxDecisions = 320
+
 // Decision is one routing or placement decision.
 type Decision struct {
 	At     time.Time `json:"At"`
@@ -26,50 +25,56 @@
 // Decisions logs decisions and remembers those of recent requests for operators. Its memory is
 // bounded. It is safe for concurrent use.
 type Decisions struct {
-	log    *slog.Logger
-	sample uint64
+	log *slog.Logger
+	// share is the share of requests whose decisions are logged.
+	share float64
 
 	mu       sync.Mutex
 	requests map[string][]Decision
 	order    []string
 	next     int
-	counter  uint64
 }
 
-// NewDecisions returns an empty record. Sample 1 logs each decision, n each n-th.
-func NewDecisions(log *slog.Logger, sample uint64) *Decisions {
+// NewDecisions returns a record of at most limit requests. The decisions of the given share of
+// requests are logged; 1 logs all.
+func NewDecisions(log *slog.Logger, share float64, limit int) *Decisions {
 	return &Decisions{
-		log: log, sample: max(1, sample), requests: make(map[string][]Decision, ringRequests),
-		order: make([]string, ringRequests),
+		log: log, share: share, requests: make(map[string][]Decision), order: make([]string, max(1, limit)),
 	}
 }
 
 // Add logs a decision and remembers it.
 func (d *Decisions) Add(request string, v Decision) {
-	if d.remember(request, v) {
+	if v.At.IsZero() {
+		v.At = time.Now()
+	}
+	d.remember(request, v)
+	if d.logs(request) {
 		d.log.Info("decision", "RequestId", request, "Name", v.Name, "Peer", v.Peer, "Shard", v.Shard, "Detail", v.Detail)
 	}
 }
 
-// remember stores the decision and reports whether it is to be logged.
-func (d *Decisions) remember(request string, v Decision) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.counter++
-	if request != "" {
-		d.store(request, v)
+// logs decides by the request's identifier, so that a request is logged as a whole or not at all.
+func (d *Decisions) logs(request string) bool {
+	if d.share >= 1 || request == "" {
+		return true
 	}
-	return d.counter%d.sample == 0
+	return float64(xxhash.Sum64String(request)) < d.share*math.MaxUint64
 }
 
-func (d *Decisions) store(request string, v Decision) {
+func (d *Decisions) remember(request string, v Decision) {
+	if request == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	list, known := d.requests[request]
 	if !known {
 		delete(d.requests, d.order[d.next])
 		d.order[d.next] = request
 		d.next = (d.next + 1) % len(d.order)
 	}
-	if len(list) < ringDecisions {
+	if len(list) < maxDecisions {
 		d.requests[request] = append(list, v)
 	}
 }
--- /dev/null
+++ b/serve/install.go
@@ -0,0 +1,123 @@
+package serve
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/peer"
+	"github.com/arbutusthread/arbutusthread/query"
+)
+
+// historyLength is the number of documents from which a node can make deltas. At one change in
+// 2 s it covers a peer that was cut off for half a minute.
+const historyLength = 16
+
+// installRaw checks a document from the platform and puts it in force.
+func (n *Node) installRaw(raw []byte) error {
+	doc, err := conf.ParseDocument(raw)
+	if err != nil {
+		return errors.Wrap(err, "serve: configuration from the platform")
+	}
+	return n.install(doc, "platform")
+}
+
+// install puts a document in force when it passes its check and is newer than the present one. A
+// document that fails changes nothing and is reported until a good one arrives.
+func (n *Node) install(doc *conf.Document, from string) error {
+	n.installMu.Lock()
+	defer n.installMu.Unlock()
+	err := n.installLocked(doc)
+	switch {
+	case err == nil:
+		n.fault.Store(nil)
+		n.log.Info("configuration in force", "Version", doc.Version, "Preset", doc.Preset, "From", from)
+		n.metrics.Gauge("config_version", float64(doc.Version))
+	case errors.Is(err, fleet.ErrStale):
+		n.log.Debug("older configuration ignored", "Version", doc.Version, "From", from)
+	default:
+		n.refuseConfig(doc.Version, from, err)
+	}
+	return err
+}
+
+func (n *Node) installLocked(doc *conf.Document) error {
+	if err := doc.Check().Err(); err != nil {
+		return err
+	}
+	hash := conf.Hash(doc)
+	if old := n.view.Load(); old != nil && old.catalog.Document.Version == doc.Version && old.hash == hash {
+		return nil
+	}
+	if err := n.peer.Install(doc, hash); err != nil {
+		return err
+	}
+	v := &view{catalog: query.NewCatalog(doc), callers: conf.NewCallerIndex(doc), hash: hash}
+	n.history = append(n.history, v)
+	if len(n.history) > historyLength {
+		n.history = n.history[1:]
+	}
+	n.view.Store(v)
+	n.homes.update()
+	return nil
+}
+
+func (n *Node) refuseConfig(version uint64, from string, err error) {
+	text := err.Error()
+	n.fault.Store(&text)
+	n.metrics.Count("config_refused")
+	n.log.Error("configuration refused, the last good one stays in force", "Version", version, "From", from, "Error", text)
+}
+
+// document answers a peer that pulls the configuration, with a delta when the peer has a document
+// that this node remembers.
+func (n *Node) document(from uint64, hash string) (peer.Document, error) {
+	n.installMu.Lock()
+	defer n.installMu.Unlock()
+	now := n.view.Load()
+	if now == nil {
+		return peer.Document{}, errors.New("serve: no configuration yet")
+	}
+	doc := now.catalog.Document
+	out := peer.Document{Version: doc.Version, Hash: now.hash}
+	var body any = doc
+	for _, old := range n.history {
+		if from != 0 && old.catalog.Document.Version == from && old.hash == hash {
+			body, out.From = conf.Diff(old.catalog.Document, doc), from
+		}
+	}
+	raw, err := json.Marshal(body)
+	out.Body = raw
+	return out, errors.Wrap(err, "serve: encode configuration")
+}
+
+// pulled installs a document or a delta from a peer.
+func (n *Node) pulled(d peer.Document) error {
+	doc, err := n.decodePulled(d)
+	if err != nil {
+		return err
+	}
+	if got := conf.Hash(doc); got != d.Hash {
+		return errors.Newf("serve: configuration %d from a peer has hash %s, expected %s", doc.Version, got, d.Hash)
+	}
+	return n.install(doc, "peer")
+}
+
+func (n *Node) decodePulled(d peer.Document) (*conf.Document, error) {
+	if d.From == 0 {
+		doc, err := conf.ParseDocument(d.Body)
+		return doc, errors.Wrap(err, "serve: configuration from a peer")
+	}
+	delta, err := conf.ParseDelta(d.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "serve: delta from a peer")
+	}
+	now := n.view.Load()
+	if now == nil || now.catalog.Document.Version != d.From {
+		return nil, errors.Newf("serve: delta from version %d does not fit", d.From)
+	}
+	doc, err := delta.Apply(now.catalog.Document)
+	return doc, errors.Wrap(err, "serve: apply delta")
+}
--- a/serve/metric.go
+++ b/serve/metric.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -24,7 +25,9 @@
 
 // NewMetrics returns metrics tagged with the node's name and failure domain.
 func NewMetrics(name, domain string) *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own allows several nodes in one process.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: metricPrefix, CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		Tags: map[string]string{"node": name, "failure_domain": domain}, SanitizeOptions: &prometheus.DefaultSanitizerOpts,
--- /dev/null
+++ b/serve/node.go
@@ -0,0 +1,249 @@
+package serve
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/netutil"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/arbutusthread/arbutusthread/back"
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/guard"
+	"github.com/arbutusthread/arbutusthread/order"
+	"github.com/arbutusthread/arbutusthread/peer"
+	"github.com/arbutusthread/arbutusthread/plat"
+	"github.com/arbutusthread/arbutusthread/query"
+)
+
+const (
+	// headerTimeout bounds the headers of a request, idleTimeout an unused connection of a caller.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 30 * time.Second
+)
+
+// Config describes a node. The settings must have passed their check; a port of 0 has one chosen.
+type Config struct {
+	Settings *conf.Settings
+	Log      *slog.Logger
+}
+
+// Node is one node of the fleet.
+type Node struct {
+	settings  *conf.Settings
+	log       *slog.Logger
+	metrics   *Metrics
+	decisions *Decisions
+
+	peer     *peer.Node
+	platform *plat.Client
+	backend  *back.Client
+	health   *http.Client
+	proven   *guard.Proven
+	provenMu sync.Mutex
+
+	view      atomic.Pointer[view]
+	installMu sync.Mutex
+	history   []*view
+	fault     atomic.Pointer[string]
+
+	homes    *homes
+	orders   *orders
+	leaving  leaving
+	callers  net.Listener
+	ops      net.Listener
+	front    *http.Server
+	console  *http.Server
+	stopping atomic.Bool
+	stopped  chan struct{}
+}
+
+// view is the configuration in force.
+type view struct {
+	catalog *query.Catalog
+	callers *conf.CallerIndex
+	hash    string
+}
+
+// New opens the sockets of a node. Run must be called to use it.
+func New(c Config) (*Node, error) {
+	s := c.Settings
+	n := &Node{
+		settings: s, log: c.Log, metrics: NewMetrics(s.Name, s.FailureDomain),
+		decisions: NewDecisions(c.Log, s.Log.Sample(), s.Limits.Decisions),
+		proven:    guard.NewProven(provenLimit, provenLifetime),
+		backend:   back.NewClient(back.Config{MaxAnswer: s.Limits.AnswerBytes, Logger: c.Log}),
+		health:    newHealthClient(),
+		stopped:   make(chan struct{}),
+	}
+	n.homes = newHomes(n)
+	if err := n.open(); err != nil {
+		n.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) open() error {
+	s := n.settings
+	platform, err := plat.New(plat.Config{URL: s.Platform})
+	if err != nil {
+		return errors.Wrap(err, "serve: settings: Platform")
+	}
+	n.platform = platform
+	server, client, err := n.tls()
+	if err != nil {
+		return err
+	}
+	if n.callers, err = listen(s.CallerAddress, server); err != nil {
+		return err
+	}
+	n.callers = netutil.LimitListener(n.callers, s.Limits.CallerConnections)
+	if n.ops, err = listen(s.OpsAddress, server); err != nil {
+		return err
+	}
+	n.front, n.console = n.httpServer(n.callerHandler()), n.httpServer(n.opsHandler())
+	return n.openPeer(server, client)
+}
+
+func (n *Node) openPeer(server, client *tls.Config) error {
+	s := n.settings
+	p, err := peer.New(peer.Config{
+		Member: fleet.Member{
+			Address: s.PeerAddress, Caller: n.CallerAddress(), FailureDomain: s.FailureDomain, Region: s.Region,
+		},
+		Keys: s.Keys(), ServerTLS: server, ClientTLS: client, Event: n.event, Log: n.log,
+		Handlers: peer.Handlers{
+			Slice: n.servePeerSlice, Order: n.servePeerOrder, Execute: n.servePeerExecute,
+			Document: n.document, Pulled: n.pulled,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	n.peer = p
+	signer, err := order.NewSigner(s.Keys())
+	if err != nil {
+		return errors.Wrap(err, "serve: settings: FleetKeys")
+	}
+	n.orders, err = newOrders(n, signer)
+	return err
+}
+
+// tls returns the configurations of listeners and of requests to peers; both are nil without TLS.
+func (n *Node) tls() (server, client *tls.Config, err error) {
+	t := n.settings.TLS
+	if !t.Enabled() {
+		return nil, nil, nil
+	}
+	certs, err := LoadCertificates(t.Certificate, t.Key)
+	if err != nil {
+		return nil, nil, err
+	}
+	server = &tls.Config{GetCertificate: certs.Get, MinVersion: tls.VersionTLS12}
+	client = &tls.Config{MinVersion: tls.VersionTLS12}
+	if t.CA != "" {
+		if client.RootCAs, err = LoadPool(t.CA); err != nil {
+			return nil, nil, err
+		}
+	}
+	return server, client, nil
+}
+
+func listen(a netip.AddrPort, t *tls.Config) (net.Listener, error) {
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, errors.Wrapf(err, "serve: listen on %s", a)
+	}
+	if t == nil {
+		return l, nil
+	}
+	return tls.NewListener(l, t), nil
+}
+
+// CallerAddress returns the address for callers.
+func (n *Node) CallerAddress() netip.AddrPort {
+	return listenAddress(n.callers)
+}
+
+// OpsAddress returns the address for operators.
+func (n *Node) OpsAddress() netip.AddrPort {
+	return listenAddress(n.ops)
+}
+
+// PeerAddress returns the address for other nodes.
+func (n *Node) PeerAddress() netip.AddrPort {
+	return n.peer.Self().Address
+}
+
+func listenAddress(l net.Listener) netip.AddrPort {
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Run serves until ctx ends, which cuts off requests in flight, or until Stop has ended the node
+// in a planned way. It returns the first error of a socket.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.peer.Run(ctx) })
+	group.Go(func() error { return serveHTTP(ctx, n.front, n.callers) })
+	group.Go(func() error { return serveHTTP(ctx, n.console, n.ops) })
+	group.Go(func() error { n.watchConfig(ctx); return nil })
+	group.Go(func() error { n.watchVMs(ctx); return nil })
+	group.Go(func() error { n.watchHomes(ctx); return nil })
+	group.Go(func() error {
+		select {
+		case <-n.stopped:
+			cancel()
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	n.log.Info("node started", "Name", n.settings.Name, "FailureDomain", n.settings.FailureDomain,
+		"CallerAddress", n.CallerAddress(), "PeerAddress", n.PeerAddress(), "OpsAddress", n.OpsAddress())
+	err := group.Wait()
+	n.close()
+	return err
+}
+
+func (n *Node) httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+}
+
+func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve: serve on %s", l.Addr())
+	}
+	return nil
+}
+
+func (n *Node) close() {
+	n.homes.close()
+	n.backend.Close()
+	_ = n.metrics.Close()
+	for _, l := range []net.Listener{n.callers, n.ops} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// Ready reports whether the node serves callers.
+func (n *Node) Ready() bool {
+	return n.view.Load() != nil && n.peer.Ready()
+}
--- /dev/null
+++ b/serve/node_test.go
@@ -0,0 +1,133 @@
+package serve
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// testFleet is a platform, backend servers and nodes on loopback.
+type testFleet struct {
+	*stand.Fleet
+	t     *testing.T
+	nodes []*Node
+	ends  []context.CancelFunc
+}
+
+func startFleet(t *testing.T, layout stand.Layout, domains ...string) *testFleet {
+	t.Helper()
+	f, err := stand.StartFleet(t.Context(), stand.FleetConfig{
+		Layout: layout, Server: stand.ServerConfig{StartWarm: true}, Seed: 1,
+	})
+	is.New(t).NoErr(err)
+	v := &testFleet{Fleet: f, t: t}
+	t.Cleanup(v.close)
+	for i, d := range domains {
+		v.start(fmt.Sprintf("node-%d", i), d)
+	}
+	v.list()
+	for _, n := range v.nodes {
+		v.until(n.settings.Name+" ready", n.Ready)
+	}
+	return v
+}
+
+func (f *testFleet) start(name, domain string) *Node {
+	any0 := netip.MustParseAddrPort("127.0.0.1:0")
+	s := &conf.Settings{
+		Name: name, FailureDomain: domain, Region: "region", CallerAddress: any0, PeerAddress: any0, OpsAddress: any0,
+		Platform: f.URL, FleetKeys: []string{"000102030405060708090a0b0c0d0e0f"}, KeepFor: wire.Duration(200 * time.Millisecond),
+		Limits: conf.Limits{
+			BodyBytes: 1 << 20, AnswerBytes: 1 << 20, TopK: 100, CallerConnections: 100, OrderKeyBatch: 100, OrderKeys: 1000,
+			Decisions: 1000,
+		},
+	}
+	level := slog.LevelWarn
+	n, err := New(Config{Settings: s, Log: slog.New(slog.NewTextHandler(f.t.Output(), &slog.HandlerOptions{Level: level}))})
+	is.New(f.t).NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = n.Run(ctx) }()
+	f.nodes = append(f.nodes, n)
+	f.ends = append(f.ends, cancel)
+	return n
+}
+
+func (f *testFleet) list() {
+	var vms []wire.VM
+	for _, n := range f.nodes {
+		vms = append(vms, wire.VM{Address: n.PeerAddress(), Role: wire.RoleEntry, FailureDomain: n.settings.FailureDomain, State: wire.VMLive})
+	}
+	f.SetEntryVMs(vms)
+}
+
+func (f *testFleet) close() {
+	for _, end := range f.ends {
+		end()
+	}
+	f.Fleet.Close()
+}
+
+// until waits for a condition that must come true within the bound of 10 s.
+func (f *testFleet) until(what string, ok func() bool) {
+	f.t.Helper()
+	for range 1000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatalf("not within 10 s: %s", what)
+}
+
+func (f *testFleet) call(n *Node, method, path string, body, answer any) (int, *wire.Failure) {
+	f.t.Helper()
+	raw, err := json.Marshal(body)
+	is.New(f.t).NoErr(err)
+	q, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+n.CallerAddress().String()+path, bytes.NewReader(raw))
+	is.New(f.t).NoErr(err)
+	q.Header.Set("Authorization", "Bearer "+stand.CallerKey)
+	r, err := http.DefaultClient.Do(q)
+	is.New(f.t).NoErr(err)
+	defer r.Body.Close()
+	got, err := io.ReadAll(r.Body)
+	is.New(f.t).NoErr(err)
+	if r.StatusCode != http.StatusOK {
+		v := &wire.Failure{}
+		is.New(f.t).NoErr(json.Unmarshal(got, v))
+		return r.StatusCode, v
+	}
+	is.New(f.t).NoErr(json.Unmarshal(got, answer))
+	return r.StatusCode, nil
+}
+
+// Guards against a query that fails on any node, or an answer that mixes versions or lacks shards.
+func TestQueryThroughEachNode(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, stand.Layout{Services: 2, Shards: 4}, "Lukang", "Yilan", "Chiayi")
+	for i, n := range f.nodes {
+		var a wire.Answer
+		f.until("answer", func() bool {
+			status, v := f.call(n, http.MethodPost, "/v1/services/service-0/query", wire.Query{Kind: "lookup", Query: fmt.Sprint("q", i)}, &a)
+			if v != nil {
+				t.Log(status, v)
+			}
+			return status == http.StatusOK
+		})
+		is.Equal(a.IndexVersion, "v1")
+		is.Equal(len(a.Coverage.Covered), 4)
+		is.Equal(len(a.Hits), 10)
+	}
+}
--- /dev/null
+++ b/serve/ops.go
@@ -0,0 +1,117 @@
+package serve
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/guard"
+	"github.com/arbutusthread/arbutusthread/peer"
+	"github.com/arbutusthread/arbutusthread/sched"
+)
+
+// Status is what a node tells operators of itself.
+type Status struct {
+	Name          string         `json:"Name"`
+	FailureDomain string         `json:"FailureDomain"`
+	Ready         bool           `json:"Ready"`
+	Stopping      bool           `json:"Stopping"`
+	Reader        bool           `json:"Reader"`
+	Version       uint64         `json:"Version"`
+	Preset        string         `json:"Preset"`
+	ConfigFault   string         `json:"ConfigFault,omitempty"`
+	Members       []fleet.Member `json:"Members"`
+	Homes         []HomeStatus   `json:"Homes"`
+	Marks         []guard.Note   `json:"Marks"`
+	Control       peer.Counters  `json:"Control"`
+}
+
+// HomeStatus is the state of a slice at its home. Until is the end of the lease, zero when the node
+// does not hold it.
+type HomeStatus struct {
+	Service string               `json:"Service"`
+	Slice   int                  `json:"Slice"`
+	Until   time.Time            `json:"Until,omitzero"`
+	Busy    int                  `json:"Busy"`
+	Servers []sched.ServerStatus `json:"Servers"`
+}
+
+// opsHandler returns the interface for operators.
+func (n *Node) opsHandler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /ops/status", func(w http.ResponseWriter, _ *http.Request) { n.reply(w, n.Status()) })
+	m.HandleFunc("GET /ops/explain/{id}", n.explain)
+	m.Handle("GET /metrics", n.metrics.Handler())
+	m.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
+	m.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() || n.stopping.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return m
+}
+
+func (n *Node) reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		n.log.Debug("answer to operator not written", "Error", err)
+	}
+}
+
+func (n *Node) explain(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	list := n.decisions.Explain(id)
+	if len(list) == 0 {
+		w.WriteHeader(http.StatusNotFound)
+	}
+	n.reply(w, struct {
+		RequestID string     `json:"RequestId"`
+		Node      string     `json:"Node"`
+		Decisions []Decision `json:"Decisions"`
+	}{id, n.settings.Name, list})
+}
+
+// Status returns the state of the node.
+func (n *Node) Status() Status {
+	s := Status{
+		Name: n.settings.Name, FailureDomain: n.settings.FailureDomain, Ready: n.Ready(),
+		Stopping: n.stopping.Load(), Reader: n.peer.IsReader(), Members: n.peer.Members(),
+		Control: n.peer.Counters(), Homes: []HomeStatus{}, Marks: []guard.Note{},
+	}
+	if v := n.view.Load(); v != nil {
+		s.Version, s.Preset = v.catalog.Document.Version, v.catalog.Document.Preset
+	}
+	if f := n.fault.Load(); f != nil {
+		s.ConfigFault = *f
+	}
+	for _, h := range n.homes.all() {
+		until, held := n.peer.Lease(h.key.service, h.key.slice)
+		if !held {
+			continue
+		}
+		s.Homes = append(s.Homes, HomeStatus{
+			Service: h.key.service, Slice: h.key.slice, Until: until, Busy: h.busy(), Servers: h.status(),
+		})
+		s.Marks = append(s.Marks, h.marks()...)
+	}
+	return s
+}
+
+func (h *home) status() []sched.ServerStatus {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.slice.Status(time.Now())
+}
+
+func (h *home) busy() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.slice.Busy()
+}
+
+func (h *home) marks() []guard.Note {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.slice.Marks(time.Now())
+}
