Add the caller library

Change: call.Client keeps addresses for KeepFor, sends queries again within the deadline and a retry budget, and sends an order key again until its fate is certain. A refusal closes a key only if the issuer was asked, because a relay cannot know what an earlier attempt did.

--- /dev/null
+++ b/call/order_test.go
@@ -0,0 +1,148 @@
+package call
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+var (
+	overload  = forwarded(wire.Refuse(wire.StepAdmit, "", wire.ReasonOverload, "queue full"))
+	closed    = wire.Refuse(wire.StepOrderKey, "", wire.ReasonKeyClosed, "never runs")
+	notReady  = wire.Refuse(wire.StepReady, "", wire.ReasonNotReady, "starting")
+	foreign   = wire.Refuse(wire.StepOrderKey, "", wire.ReasonKeyForeign, "another incarnation")
+	forbidden = wire.Refuse(wire.StepAuth, "", wire.ReasonForbidden, "not allowed")
+	unknown   = wire.Uncertain(wire.StepDispatch, "", wire.ReasonBackend, "no answer")
+	unreached = &wire.Failure{Outcome: wire.Unknown, Step: wire.StepRelay, Reason: wire.ReasonPeer}
+	quarantin = forwarded(wire.Refuse(wire.StepCanary, "", wire.ReasonQuarantine, "crashes servers"))
+)
+
+// Guards against a second run of an order: a new key after the order may have run, and against a
+// "not run" that is not certain. Keys counts the distinct keys that arrive.
+func TestOrderRules(t *testing.T) {
+	tests := []struct {
+		name    string
+		script  []action
+		outcome wire.Outcome
+		sends   int
+		keys    int
+	}{
+		{"answered", []action{answer}, wire.Answered, 1, 1},
+		{"same key after a broken connection", []action{drop, answer}, wire.Answered, 2, 1},
+		{"same key after a cut reply", []action{cut, answer}, wire.Answered, 2, 1},
+		{"same key after a reply that ends twice", []action{duplicate, answer}, wire.Answered, 2, 1},
+		{"same key after the result of another order", []action{otherOrder, answer}, wire.Answered, 2, 1},
+		{"same key after unknown", []action{fail(unknown), fail(unknown), fail(unknown), fail(unknown), answer}, wire.Answered, 5, 1},
+		{"same key after a silent node", []action{delay(1500*time.Millisecond, drop), answer}, wire.Answered, 2, 1},
+		{"new key after not run", []action{fail(overload), answer}, wire.Answered, 2, 2},
+		{"new key after a closed key", []action{drop, fail(closed), answer}, wire.Answered, 3, 2},
+		{"new key when no attempt was forwarded", []action{fail(unreached), fail(unreached), fail(unreached), answer}, wire.Answered, 4, 2},
+		{"new key when no attempt passed a relay", []action{fail(notReady), fail(unreached), fail(notReady), answer}, wire.Answered, 4, 2},
+		{"new key after a restart of the issuer", []action{fail(foreign), answer}, wire.Answered, 2, 2},
+		{"no new key after a restart that lost the order", []action{drop, fail(foreign), answer}, wire.Unknown, 2, 1},
+		{"no new key after a relay that only refuses", []action{drop, fail(forbidden), answer}, wire.Unknown, 2, 1},
+		{"unreached issuer of an order that may have run", []action{drop, fail(unreached)}, wire.Unknown, -1, 1},
+		{"unknown to the end", []action{fail(unknown)}, wire.Unknown, -1, 1},
+		{"refusals are bounded", []action{fail(overload)}, wire.Refused, 3, 3},
+		{"no retry of what is forbidden", []action{fail(forbidden)}, wire.Refused, 1, 1},
+		{"no retry of what crashes servers", []action{fail(quarantin)}, wire.Refused, 1, 1},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			n := newNode(t, x.script...)
+			r := newClient(t, n, nil).Order(context.Background(), "ledger", Order{Kind: "place-order", Body: json.RawMessage(`1`)})
+			is.Equal(r.Outcome, x.outcome)
+			sent := n.keysSent()
+			distinct := map[string]bool{}
+			for _, k := range sent {
+				distinct[k] = true
+			}
+			is.Equal(len(distinct), x.keys)
+			is.Equal(r.Key, sent[len(sent)-1]) // the caller asks for the outcome of the last key
+			if x.sends > 0 {
+				is.Equal(len(sent), x.sends)
+			}
+			switch x.outcome {
+			case wire.Answered:
+				is.NoErr(r.Err())
+				is.Equal(string(r.Result), `"cut"`)
+			case wire.Refused:
+				is.True(r.Failure.NotRun)
+			case wire.Unknown:
+				is.True(!r.Failure.NotRun)
+			}
+		})
+	}
+}
+
+// Guards against a refusal that leaves the caller unsure when no connection could be made, and
+// against a wait for an issuer that is gone.
+func TestOrderToLostNodes(t *testing.T) {
+	is := is.New(t)
+	lost, live := newNode(t, answer), newNode(t, fail(unreached), fail(unreached), fail(unreached), answer)
+	live.addresses = []string{lost.address.String(), live.address.String()}
+	c := newClient(t, live, nil)
+	lost.Close()
+	r := c.Order(context.Background(), "ledger", Order{Kind: "place-order"})
+	is.Equal(r.Outcome, wire.Answered)
+
+	live.Close()
+	// A request on a connection that ends at this moment may have been read.
+	c.http.CloseIdleConnections()
+	r = c.Order(context.Background(), "ledger", Order{Kind: "place-order", Timeout: 300 * time.Millisecond})
+	is.Equal(r.Outcome, wire.Refused)
+	is.True(r.Failure.NotRun)
+	again := c.Resend(context.Background(), "ledger", wire.OrderKey{Key: "k", Expires: time.Now().Add(time.Minute)},
+		Order{Kind: "place-order", Timeout: 300 * time.Millisecond})
+	is.Equal(again.Outcome, wire.Unknown) // an earlier attempt may have run
+}
+
+// Guards against one request for a key before each order, and against the use of keys that end
+// before the order does.
+func TestOrderKeysAreFetchedAhead(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, answer)
+	c := newClient(t, n, func(config *Config) { config.KeyBatch = 4 })
+	for range 8 {
+		is.Equal(c.Order(context.Background(), "ledger", Order{Kind: "place-order"}).Outcome, wire.Answered)
+	}
+	n.mu.Lock()
+	is.True(n.issued <= 16)
+	n.keyLife = time.Second
+	n.mu.Unlock()
+	c.mu.Lock()
+	c.keys["ledger"] = nil
+	c.mu.Unlock()
+	r := c.Order(context.Background(), "ledger", Order{Kind: "place-order", Timeout: 1500 * time.Millisecond})
+	is.Equal(r.Outcome, wire.Refused)
+	is.Equal(r.Failure.Step, wire.StepOrderKey)
+	is.Equal(len(n.keysSent()), 8)
+}
+
+// Guards against a look-up that starts the order or that reports an unreached issuer as not run.
+func TestLookup(t *testing.T) {
+	for _, x := range []struct {
+		script  []action
+		outcome wire.Outcome
+	}{
+		{[]action{drop, answer}, wire.Answered},
+		{[]action{fail(closed)}, wire.Refused},
+		{[]action{fail(overload)}, wire.Refused},
+		{[]action{fail(unreached)}, wire.Unknown},
+		{[]action{fail(notReady)}, wire.Unknown},
+		{[]action{fail(foreign)}, wire.Unknown},
+		{[]action{fail(unknown)}, wire.Unknown},
+	} {
+		is := is.New(t)
+		n := newNode(t, x.script...)
+		is.Equal(newClient(t, n, nil).Lookup(context.Background(), "ledger", "some key").Outcome, x.outcome)
+		is.Equal(len(n.keysSent()), 0)
+	}
+}
--- /dev/null
+++ b/call/query.go
@@ -0,0 +1,111 @@
+package call
+
+import (
+	"context"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// Query sends a query and returns its answer. After a failure it sends the query again to
+// another address, within the timeout and a bounded number of attempts. The error is a
+// *wire.Failure. An empty RequestID is replaced by a random one.
+func (c *Client) Query(ctx context.Context, service string, q wire.Query) (*wire.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(q.Timeout))
+	defer cancel()
+	if q.RequestID == "" {
+		q.RequestID = c.newRequestID()
+	}
+	c.mu.Lock()
+	c.budget.Earn(1)
+	c.mu.Unlock()
+	var tried []netip.AddrPort
+	for n := 1; ; n++ {
+		addresses, err := c.Addresses(ctx, service)
+		if err != nil {
+			return nil, err
+		}
+		peer := c.pick(addresses, tried)
+		tried = append(tried, peer)
+		answer, r := c.queryOnce(ctx, peer, service, q, n == c.config.Attempts)
+		if answer != nil {
+			return answer, nil
+		}
+		f := r.asFailure()
+		if n == c.config.Attempts || !c.mayRetry(r) || !c.pause(ctx, n, f.RetryIn.Std()) {
+			return nil, f
+		}
+	}
+}
+
+func (c *Client) queryOnce(ctx context.Context, peer netip.AddrPort, service string, q wire.Query, last bool) (*wire.Answer, reply) {
+	limit := attemptTime(ctx, last)
+	if q.Timeout != 0 {
+		q.Timeout = wire.Duration(limit)
+	}
+	r := c.send(ctx, peer, "/v1/services/"+url.PathEscape(service)+"/query", q, limit)
+	var a wire.Answer
+	if !r.decode(&a) {
+		return nil, r
+	}
+	if err := checkAnswer(q, a); err != nil {
+		r.reject(errors.Wrapf(err, "call: answer of %s", peer))
+		return nil, r
+	}
+	return &a, r
+}
+
+// checkAnswer rejects an answer to another request and one whose coverage does not add up.
+func checkAnswer(q wire.Query, a wire.Answer) error {
+	switch {
+	case a.Outcome != wire.Answered:
+		return errors.Newf("outcome %q", a.Outcome)
+	case a.RequestID != q.RequestID:
+		return errors.Newf("request id %q instead of %q", a.RequestID, q.RequestID)
+	case len(a.Coverage.Covered)+len(a.Coverage.Missing) != a.Coverage.Shards:
+		return errors.Newf("coverage of %d shards lists %d and %d",
+			a.Coverage.Shards, len(a.Coverage.Covered), len(a.Coverage.Missing))
+	}
+	return nil
+}
+
+// mayRetry reports whether another attempt may help. Attempts that cost the nodes work are
+// bounded by the retry budget, so that callers do not add to an overload.
+func (c *Client) mayRetry(r reply) bool {
+	if r.failure != nil {
+		switch {
+		case isPermanent(r.failure.Reason), r.failure.Reason == wire.ReasonDeadline, r.failure.Reason == wire.ReasonCoverage:
+			return false
+		case r.failure.NotRun && r.failure.Reason != wire.ReasonOverload:
+			return true
+		}
+	}
+	if !r.sent {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.budget.Spend()
+}
+
+// isPermanent reports whether the same request fails in the same way at any node.
+func isPermanent(r wire.Reason) bool {
+	switch r {
+	case wire.ReasonBadRequest, wire.ReasonTooLarge, wire.ReasonUnauthorized, wire.ReasonForbidden,
+		wire.ReasonNotFound, wire.ReasonQuarantine:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *Client) timeout(asked wire.Duration) time.Duration {
+	if asked > 0 {
+		return asked.Std()
+	}
+	return c.config.Timeout
+}
--- /dev/null
+++ b/call/query_test.go
@@ -0,0 +1,100 @@
+package call
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+var (
+	coverage = &wire.Failure{Outcome: wire.Refused, Forwarded: true, Step: wire.StepMerge, Reason: wire.ReasonCoverage}
+	backend  = &wire.Failure{Outcome: wire.Refused, Forwarded: true, Step: wire.StepScatter, Reason: wire.ReasonBackend}
+)
+
+// Guards against an answer that is incomplete or belongs to another request, against a query that
+// a single fault fails, and against retries that cannot help.
+func TestQueryRules(t *testing.T) {
+	tests := []struct {
+		name   string
+		script []action
+		reason wire.Reason // of the failure, or empty for an answer
+		sends  int
+	}{
+		{"answered", []action{answer}, "", 1},
+		{"broken connection", []action{drop, answer}, "", 2},
+		{"cut reply", []action{cut, answer}, "", 2},
+		{"reply twice in one body", []action{duplicate, answer}, "", 2},
+		{"answer to another request", []action{answerOther, answer}, "", 2},
+		{"silent node", []action{delay(1500*time.Millisecond, drop), answer}, "", 2},
+		{"node that starts", []action{fail(notReady), fail(notReady), answer}, "", 3},
+		{"overload", []action{fail(overload), answer}, "", 2},
+		{"failure of servers", []action{fail(backend), answer}, "", 2},
+		{"attempts are bounded", []action{drop}, wire.ReasonPeer, 3},
+		{"forbidden", []action{fail(forbidden)}, wire.ReasonForbidden, 1},
+		{"coverage below the minimum", []action{fail(coverage)}, wire.ReasonCoverage, 1},
+		{"wait longer than the deadline", []action{fail(overload.After(time.Hour))}, wire.ReasonOverload, 1},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			n := newNode(t, x.script...)
+			a, err := newClient(t, n, nil).Query(context.Background(), "ledger", wire.Query{Kind: "lookup"})
+			sent := n.queriesSent()
+			is.Equal(len(sent), x.sends)
+			for _, q := range sent {
+				is.True(q.RequestID != "")
+				is.Equal(q.RequestID, sent[0].RequestID)
+			}
+			if x.reason == "" {
+				is.NoErr(err)
+				is.Equal(a.RequestID, sent[0].RequestID)
+				return
+			}
+			var f *wire.Failure
+			is.True(errors.As(err, &f))
+			is.Equal(f.Reason, x.reason)
+		})
+	}
+}
+
+// Guards against callers that multiply the load of an overloaded system.
+func TestQueryRetryBudget(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, fail(overload))
+	c := newClient(t, n, nil)
+	const queries = 100
+	for range queries {
+		_, err := c.Query(context.Background(), "ledger", wire.Query{Kind: "lookup"})
+		is.True(err != nil)
+	}
+	is.True(len(n.queriesSent()) <= queries+retryBurst+queries/10)
+}
+
+// Guards against a lost node that callers keep trying, against address requests before each
+// query, and against the loss of service while no node tells addresses.
+func TestAddresses(t *testing.T) {
+	is := is.New(t)
+	lost, live := newNode(t, answer), newNode(t, answer)
+	live.addresses = []string{lost.address.String(), live.address.String()}
+	live.keepFor = 300 * time.Millisecond
+	c := newClient(t, live, func(config *Config) { config.Seeds = append(config.Seeds, lost.address) })
+	lost.Close()
+	for range 20 {
+		_, err := c.Query(context.Background(), "ledger", wire.Query{Kind: "lookup"})
+		is.NoErr(err)
+	}
+	is.True(live.addressRequests() <= 3)
+
+	live.Close()
+	time.Sleep(live.keepFor)
+	got, err := c.Addresses(context.Background(), "ledger")
+	is.NoErr(err)
+	is.Equal(got, []netip.AddrPort{lost.address, live.address})
+}
