--- /dev/null
+++ b/check.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+)
+
+// Kinds of files.
+const (
+	kindSettings      = "settings"
+	kindConfiguration = "configuration"
+)
+
+// check reports every fault of settings files and configuration documents.
+type check struct {
+	*shell
+	kind string
+}
+
+// checked is the result for one file. Hash is that of a valid configuration document.
+type checked struct {
+	File   string      `json:"File"`
+	Kind   string      `json:"Kind"`
+	Faults conf.Faults `json:"Faults"`
+	Hash   string      `json:"Hash,omitempty"`
+	about  string
+}
+
+func newCheck(s *shell, parent *ff.FlagSet) *ff.Command {
+	c := &check{shell: s}
+	flags := ff.NewFlagSet("check").SetParent(parent)
+	flags.StringEnumVar(&c.kind, 0, "kind", "kind of the files: auto, settings or configuration", "auto", kindSettings, kindConfiguration)
+	return &ff.Command{
+		Name:      "check",
+		Usage:     "arbutusthread check [FLAGS] FILE...",
+		ShortHelp: "check settings files and configuration documents",
+		LongHelp: `Prints every fault with the path of its field. "-" is the standard input.
+Exits with 4 if a file has faults.
+
+Example:
+  arbutusthread check examples/node.json examples/tw-west.json`,
+		Flags: flags,
+		Exec:  c.exec,
+	}
+}
+
+func (c *check) exec(_ context.Context, args []string) error {
+	if err := wantArgs(args, 1, math.MaxInt, "at least one FILE"); err != nil {
+		return err
+	}
+	var all []checked
+	var text strings.Builder
+	invalid := 0
+	for _, name := range args {
+		b, err := c.readFile(name)
+		if err != nil {
+			return err
+		}
+		r, err := c.file(name, b)
+		if err != nil {
+			return err
+		}
+		all = append(all, r)
+		if len(r.Faults) == 0 {
+			fmt.Fprintf(&text, "%s: valid %s\n", name, r.about)
+			continue
+		}
+		invalid++
+		for _, f := range r.Faults {
+			fmt.Fprintf(&text, "%s: %s\n", name, f)
+		}
+	}
+	if err := c.print(all, text.String()); err != nil {
+		return err
+	}
+	if invalid > 0 {
+		return exitWith(exitInvalid, errors.Newf("%d of %d files have faults", invalid, len(all)))
+	}
+	return nil
+}
+
+func (c *check) file(name string, b []byte) (checked, error) {
+	r := checked{File: name, Kind: c.kind, Faults: conf.Faults{}}
+	if r.Kind == "auto" {
+		r.Kind = guessKind(b)
+	}
+	var faults conf.Faults
+	var err error
+	if r.Kind == kindSettings {
+		faults, err = r.settings(b)
+	} else {
+		faults, err = r.document(b)
+	}
+	if err != nil && !errors.As(err, &faults) {
+		return r, errors.Wrapf(err, "check %s", name)
+	}
+	r.Faults = append(r.Faults, faults...)
+	return r, nil
+}
+
+func (r *checked) settings(b []byte) (conf.Faults, error) {
+	s, err := conf.ParseSettings(b)
+	if err != nil {
+		return nil, err
+	}
+	r.about = fmt.Sprintf("settings of node %s in %s", s.Name, s.FailureDomain)
+	return s.Check(), nil
+}
+
+func (r *checked) document(b []byte) (conf.Faults, error) {
+	d, err := conf.ParseDocument(b)
+	if err != nil {
+		return nil, err
+	}
+	faults := d.Check()
+	if len(faults) > 0 {
+		return faults, nil
+	}
+	r.Hash = conf.Hash(d)
+	servers := 0
+	for _, s := range d.Services {
+		servers += len(s.Servers)
+	}
+	r.about = fmt.Sprintf("configuration, version %d, preset %s, %d services, %d servers, hash %s",
+		d.Version, d.Preset, len(d.Services), servers, r.Hash)
+	return nil, nil
+}
+
+// guessKind tells settings by their required fields, which no document has.
+func guessKind(b []byte) string {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(b, &fields); err != nil {
+		return kindConfiguration
+	}
+	for _, name := range []string{"PeerAddress", "CallerAddress", "OpsAddress", "FleetKeys", "Platform"} {
+		if _, ok := fields[name]; ok {
+			return kindSettings
+		}
+	}
+	return kindConfiguration
+}
--- a/examples/main_test.go
+++ b/examples/main_test.go
@@ -52,3 +52,17 @@
 	is.NoErr(err)
 	is.Equal(s.Check().Lines(), "")
 }
+
+// BenchmarkInstall measures what a node does with a document that it reads from the platform.
+func BenchmarkInstall(b *testing.B) {
+	raw, err := os.ReadFile("tw-west.json")
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		d, err := conf.ParseDocument(raw)
+		if err != nil || len(d.Check()) > 0 || conf.Hash(d) == "" {
+			b.Fatal("document not accepted")
+		}
+	}
+}
--- /dev/null
+++ b/ops.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// defaultOpsAddress is that of the example settings.
+const defaultOpsAddress = "127.0.0.1:7200"
+
+// maxOpsBytes bounds the memory that a reply takes.
+const maxOpsBytes = 64 << 20
+
+// operator holds the flags of commands that use the operators' API of a node.
+type operator struct {
+	secure
+	address string
+	timeout time.Duration
+}
+
+func (x *operator) flags(f *ff.FlagSet) {
+	f.StringVar(&x.address, 0, "ops", defaultOpsAddress, "OpsAddress of the node")
+	f.DurationVar(&x.timeout, 't', "timeout", 5*time.Second, "time for the request")
+	x.secure.flags(f)
+}
+
+// get returns the JSON body of a GET request.
+func (x *operator) get(ctx context.Context, s *shell, path string) (json.RawMessage, error) {
+	address, err := netip.ParseAddrPort(x.address)
+	if err != nil {
+		return nil, usagef("--ops: %v", err)
+	}
+	config, err := x.config(s)
+	if err != nil {
+		return nil, err
+	}
+	scheme := "http://"
+	if config != nil {
+		scheme = "https://"
+	}
+	ctx, cancel := context.WithTimeout(ctx, x.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, scheme+address.String()+path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	client := http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+	defer client.CloseIdleConnections()
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "ask node at %s", address)
+	}
+	defer response.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(response.Body, maxOpsBytes))
+	if err != nil {
+		return nil, errors.Wrapf(err, "read reply of node at %s", address)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, opsFailure(address, response.StatusCode, b)
+	}
+	if !json.Valid(b) {
+		return nil, errors.Newf("reply of node at %s is not JSON", address)
+	}
+	return b, nil
+}
+
+func opsFailure(address netip.AddrPort, status int, b []byte) error {
+	var f wire.Failure
+	if json.Unmarshal(b, &f) == nil && f.Reason != "" {
+		return errors.Wrapf(&f, "node at %s", address)
+	}
+	return errors.Newf("node at %s replied with status %d", address, status)
+}
--- /dev/null
+++ b/order.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/arbutusthread/arbutusthread/call"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// keyLife is how long an order key lives at most. It bounds a resend when the expiry is not known.
+const keyLife = time.Minute
+
+// order places one order, sends it again with its key, or asks for its outcome.
+type order struct {
+	*shell
+	caller
+	resend string
+	lookup string
+}
+
+func newOrder(s *shell, parent *ff.FlagSet) *ff.Command {
+	c := &order{shell: s}
+	flags := ff.NewFlagSet("order").SetParent(parent)
+	c.flags(flags)
+	flags.StringVar(&c.resend, 0, "resend", "", "send the order again with the order key of an unknown outcome")
+	flags.StringVar(&c.lookup, 0, "lookup", "", "ask for the outcome of an order key without sending the order")
+	return &ff.Command{
+		Name:      "order",
+		Usage:     "arbutusthread order [FLAGS] SERVICE [BODY]",
+		ShortHelp: "place an order, which runs at most once",
+		LongHelp: `BODY is JSON; "-" reads it from the standard input. Exits with 3 if the order may
+have run. Then use --lookup or --resend with the order key that is printed, and
+do not place the order anew.
+
+Examples:
+  arbutusthread order --key example-cooperatives --kind place-order workshop-ledger '{"Pairs": 12}'
+  arbutusthread order --key example-cooperatives --lookup ORDERKEY workshop-ledger`,
+		Flags: flags,
+		Exec:  c.exec,
+	}
+}
+
+func (c *order) exec(ctx context.Context, args []string) error {
+	if c.lookup != "" && c.resend != "" {
+		return usagef("--lookup and --resend exclude each other")
+	}
+	if c.lookup != "" {
+		return c.ask(ctx, args)
+	}
+	if err := wantArgs(args, 2, 2, "SERVICE and BODY"); err != nil {
+		return err
+	}
+	if c.kind == "" {
+		return usagef("--kind is required")
+	}
+	body := []byte(args[1])
+	if args[1] == "-" {
+		b, err := c.readFile(args[1])
+		if err != nil {
+			return err
+		}
+		body = b
+	}
+	if !json.Valid(body) {
+		return usagef("BODY is not JSON")
+	}
+	client, err := c.client(c.shell)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	o := call.Order{Kind: c.kind, Body: body, Timeout: c.timeout}
+	if c.resend != "" {
+		key := wire.OrderKey{Key: c.resend, Expires: time.Now().Add(keyLife)}
+		return c.finish(client.Resend(ctx, args[0], key, o))
+	}
+	return c.finish(client.Order(ctx, args[0], o))
+}
+
+func (c *order) ask(ctx context.Context, args []string) error {
+	if err := wantArgs(args, 1, 1, "SERVICE"); err != nil {
+		return err
+	}
+	client, err := c.client(c.shell)
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	return c.finish(client.Lookup(ctx, args[0], c.lookup))
+}
+
+// finish prints the result. The key is printed in every case, because it identifies the order in
+// the records of the service.
+func (c *order) finish(r call.OrderResult) error {
+	text := fmt.Sprintf("%s, order key %s\n", r.Outcome, r.Key)
+	if r.Key == "" {
+		text = fmt.Sprintf("%s, no order key\n", r.Outcome)
+	}
+	if len(r.Result) > 0 {
+		text += string(r.Result) + "\n"
+	}
+	if err := c.print(r, text); err != nil {
+		return err
+	}
+	if r.Failure != nil {
+		return outcomeError(r.Failure)
+	}
+	return nil
+}
--- /dev/null
+++ b/remote.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/arbutusthread/arbutusthread/call"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// secure holds the TLS flags of commands that connect to a node.
+type secure struct {
+	tls bool
+	ca  string
+}
+
+func (x *secure) flags(f *ff.FlagSet) {
+	f.BoolVar(&x.tls, 0, "tls", "connect with TLS")
+	f.StringVar(&x.ca, 0, "ca", "", "PEM file of the authority that signs the nodes' certificates; implies --tls")
+}
+
+// config returns the TLS configuration, or nil for plain TCP.
+func (x *secure) config(s *shell) (*tls.Config, error) {
+	if !x.tls && x.ca == "" {
+		return nil, nil
+	}
+	c := &tls.Config{MinVersion: tls.VersionTLS12}
+	if x.ca == "" {
+		return c, nil
+	}
+	b, err := s.readFile(x.ca)
+	if err != nil {
+		return nil, err
+	}
+	c.RootCAs = x509.NewCertPool()
+	if !c.RootCAs.AppendCertsFromPEM(b) {
+		return nil, errors.Newf("%s has no PEM certificate", x.ca)
+	}
+	return c, nil
+}
+
+// caller holds the flags of commands that act as a caller.
+type caller struct {
+	secure
+	addresses []string
+	key       string
+	kind      string
+	timeout   time.Duration
+	verbose   bool
+}
+
+func (x *caller) flags(f *ff.FlagSet) {
+	f.StringListVar(&x.addresses, 'a', "address", "callers' address of a node, repeatable (default: 127.0.0.1:7000)")
+	f.StringVar(&x.key, 0, "key", "", "the caller's secret key; set ARBUTUSTHREAD_KEY to keep it out of the list of processes")
+	f.StringVar(&x.kind, 'k', "kind", "", "kind of the request, as the service declares it")
+	f.DurationVar(&x.timeout, 't', "timeout", 0, "time for the request; 0s means that of the kind, at most 10s")
+	f.BoolVar(&x.verbose, 'v', "verbose", "log each failed attempt to the standard error")
+	x.secure.flags(f)
+}
+
+// defaultCallerAddress is that of the example settings.
+const defaultCallerAddress = "127.0.0.1:7000"
+
+func (x *caller) client(s *shell) (*call.Client, error) {
+	if x.key == "" {
+		return nil, usagef("--key or ARBUTUSTHREAD_KEY is required")
+	}
+	if x.timeout < 0 {
+		return nil, usagef("--timeout must not be negative")
+	}
+	config := call.Config{Key: x.key, KeyBatch: 1}
+	if len(x.addresses) == 0 {
+		x.addresses = []string{defaultCallerAddress}
+	}
+	for _, a := range x.addresses {
+		p, err := netip.ParseAddrPort(a)
+		if err != nil {
+			return nil, usagef("--address: %v", err)
+		}
+		config.Seeds = append(config.Seeds, p)
+	}
+	if x.verbose {
+		config.Log = slog.New(slog.NewTextHandler(s.err, nil))
+	}
+	var err error
+	if config.TLS, err = x.config(s); err != nil {
+		return nil, err
+	}
+	return call.New(config)
+}
+
+// outcomeError returns the error and exit code of a request that was not answered.
+func outcomeError(f *wire.Failure) error {
+	if f.Outcome == wire.Unknown {
+		return exitWith(exitUnknown, errors.Wrap(f, "unknown outcome"))
+	}
+	if f.NotRun {
+		return exitWith(exitFailed, errors.Wrap(f, "refused, not run"))
+	}
+	return exitWith(exitFailed, errors.Wrap(f, "refused"))
+}
--- /dev/null
+++ b/shell.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+)
+
+// shell is what all commands share: the standard streams and the form of output.
+type shell struct {
+	in   io.Reader
+	out  io.Writer
+	err  io.Writer
+	json bool
+}
+
+// report prints an error and returns its exit code.
+func (s *shell) report(root *ff.Command, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	code := exitFailed
+	var e *exitError
+	if errors.As(err, &e) {
+		code = e.code
+	}
+	fmt.Fprintf(s.err, "arbutusthread: %v\n", err)
+	if code == exitUsage {
+		fmt.Fprintf(s.err, "usage: %s\nUse --help for more.\n", selected(root).Usage)
+	}
+	return code
+}
+
+func selected(root *ff.Command) *ff.Command {
+	if c := root.GetSelected(); c != nil {
+		return c
+	}
+	return root
+}
+
+// print writes the value as JSON if that was asked for, and otherwise the text.
+func (s *shell) print(v any, text string) error {
+	if !s.json {
+		_, err := io.WriteString(s.out, text)
+		return errors.Wrap(err, "print")
+	}
+	e := json.NewEncoder(s.out)
+	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
+	return errors.Wrap(e.Encode(v), "print")
+}
+
+// readFile reads a file, or the standard input for "-".
+func (s *shell) readFile(name string) ([]byte, error) {
+	if name == "-" {
+		b, err := io.ReadAll(s.in)
+		return b, errors.Wrap(err, "read standard input")
+	}
+	b, err := os.ReadFile(name)
+	return b, errors.Wrap(err, "read file")
+}
+
+// wantArgs checks the number of arguments. The flag library stops at the first argument, so a
+// flag behind it would be taken for an argument.
+func wantArgs(args []string, low, high int, what string) error {
+	for _, a := range args {
+		if len(a) > 1 && strings.HasPrefix(a, "-") {
+			return usagef("flag %s must come before the arguments", a)
+		}
+	}
+	if len(args) < low || len(args) > high {
+		return usagef("expected %s", what)
+	}
+	return nil
+}
