fleet: make promises of seats taken over provisional, add property tests

Cause: a partition that cuts through one seat domain and separates the other two gave two holders: the node that takes over the seat of a member that is Down, but lives behind the partition, promised the slice with one more seat. A node that resumed from a pause also promised at once, although another may have had its seats. Change: such a promise is marked provisional until the platform's list drops the member, it left by itself, or 10 min have passed, and counts only together with those of all other seats. Seats abstain after a pause and after a false verdict. A simulation in virtual time injects loss, delay, duplicates, broken links, partitions, pauses, crashes with replacement, moves, leaving, domains that go out and new documents, up to three at once, and checks the invariants at each step. One broken variant of a rule for each check must be noticed.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -127,7 +127,7 @@
 			count++
 		}
 	}
-	if count < (len(b.sample)+1)/2+1 {
+	if count < n.rules.quorum(len(b.sample)+1) {
 		return
 	}
 	b.ready = true
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -26,6 +26,8 @@
 	sentAt time.Time
 	asked  []netip.AddrPort
 	votes  []netip.AddrPort
+	// firm is the number of votes that are not provisional.
+	firm int
 	// renewedAt is when the claim that gave the present lease was sent.
 	renewedAt time.Time
 	nextClaim time.Time
@@ -115,7 +117,7 @@
 		n.round++
 	}
 	l.round, l.sentAt, l.nextClaim = n.round, n.now, n.now.Add(RenewEvery)
-	l.asked, l.votes = l.asked[:0], l.votes[:0]
+	l.asked, l.votes, l.firm = l.asked[:0], l.votes[:0], 0
 	item := LeaseItem{
 		Service: l.service, Slice: l.slice, Round: l.round, Held: l.isUsable(n), Weak: n.isWeak(l),
 	}
@@ -134,8 +136,8 @@
 			n.batch.add(a, item, l.slot.size)
 			continue
 		}
-		if _, ok := n.promise(l, claimant{a, n.self.Incarnation}, item); ok {
-			n.vote(l, a)
+		if answer, ok := n.promise(l, claimant{a, n.self.Incarnation}, item); ok {
+			n.vote(l, a, answer.Provisional)
 		}
 	}
 }
@@ -145,14 +147,19 @@
 	return !n.now.Before(l.expires) && n.abstains(l, false)
 }
 
-// vote counts a promise and takes the lease when a majority of the seats has promised.
-func (n *Node) vote(l *lease, from netip.AddrPort) {
+// vote counts a promise and takes the lease when a majority of the seats has promised firmly, or
+// all have. So two holders need a partition that cuts through two seat domains.
+func (n *Node) vote(l *lease, from netip.AddrPort, provisional bool) {
 	if !slices.Contains(l.asked, from) || slices.Contains(l.votes, from) || l.slot == nil {
 		return
 	}
 	l.votes = append(l.votes, from)
+	if !provisional {
+		l.firm++
+	}
 	end := l.sentAt.Add(n.rules.holderTime)
-	if len(l.votes) < l.slot.seats/2+1 || !n.now.Before(end) || l.sentAt.Before(n.resumed) {
+	enough := l.firm >= n.rules.quorum(l.slot.seats) || len(l.votes) >= l.slot.seats
+	if !enough || !n.now.Before(end) || l.sentAt.Before(n.resumed) {
 		return
 	}
 	e := Event{Kind: LeaseRenewed, Service: l.service, Slice: l.slice, End: end}
@@ -179,7 +186,7 @@
 	for _, it := range m.Leases {
 		l := n.leases[sliceKey{it.Service, it.Slice}]
 		if l != nil && l.round == it.Round && l.round != 0 {
-			n.vote(l, from)
+			n.vote(l, from, it.Provisional)
 		}
 	}
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -64,6 +64,8 @@
 	lost int
 	// downSince is when the member became Down here.
 	downSince time.Time
+	// left is set when the member announced that it leaves before it went Down.
+	left bool
 	// observers suspect the member at its present incarnation and sequence.
 	observers []netip.AddrPort
 	// condemned is when enough observers had suspected it; zero when they have not.
@@ -113,6 +115,7 @@
 		m.FailureDomain, m.Region, m.Caller, m.Weight = r.FailureDomain, r.Region, r.Caller, r.Weight
 	}
 	t.digest ^= r.mark
+	r.left = m.Incarnation == r.Incarnation && m.State == StateDown && (r.left || before == StateLeaving)
 	r.Member = m
 	r.observers, r.condemned = nil, time.Time{}
 	r.mark = r.digestPart()
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -78,6 +78,9 @@
 	case u.Incarnation == me.Incarnation &&
 		(u.Sequence > me.Sequence || u.Sequence == me.Sequence && u.State != me.State):
 		n.restate(u.Sequence+1, me.State)
+		if u.State == StateDown {
+			n.abstainAll()
+		}
 	case u.Incarnation < me.Incarnation || u.State == StateDown:
 		if from.IsValid() {
 			n.tell(from, me)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -49,6 +49,9 @@
 	Held bool `json:"Held,omitempty"`
 	// Weak in a Claim means that the claimant's own seat does not promise it the slice yet.
 	Weak bool `json:"Weak,omitempty"`
+	// Provisional in a Promise means that a node which may still live has a better right to the
+	// seat, so that the promise counts only together with those of all other seats.
+	Provisional bool `json:"Provisional,omitempty"`
 	// Holder in a Deny is the node to which the seat has promised the slice.
 	Holder netip.AddrPort `json:"Holder,omitzero"`
 	// Left in a Deny is the number of milliseconds for which the promise lasts.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -162,6 +162,7 @@
 	for _, l := range n.order {
 		l.nextClaim = n.now
 	}
+	n.abstainAll()
 }
 
 // SetDocument installs a configuration document with its hash and tells the neighbours at once.
--- a/fleet/rules.go
+++ b/fleet/rules.go
@@ -27,6 +27,9 @@
 	// seatAbstention is how long a node promises nothing for a slice whose seat it has taken over
 	// from another node, except to the holder.
 	seatAbstention time.Duration
+	// provisionalTime is how long a member that is Down, but still listed by the platform, makes the
+	// promises of the node that took over its seat provisional. It exceeds the usual partition.
+	provisionalTime time.Duration
 	// documentAbstention is how long a node promises nothing at all for a slice whose seat it has
 	// taken because of another document. It exceeds the time in which a document reaches all nodes.
 	documentAbstention time.Duration
@@ -43,13 +46,17 @@
 	digestStreak int
 	// accepts decides whether a document of version next may replace one of version current.
 	accepts func(current, next uint64) bool
+	// quorum is the number out of a group that decides for it.
+	quorum func(group int) int
 }
 
 func defaultRules() rules {
 	return rules{
 		promiseTime: LeaseTime, holderTime: LeaseTime * 9 / 10,
 		startAbstention: LeaseTime, seatAbstention: LeaseTime, documentAbstention: 10 * time.Second,
-		observers: 2, refuteTime: time.Second, misses: 3, pauseGap: time.Second, digestStreak: 10,
+		provisionalTime: 10 * time.Minute,
+		observers:       2, refuteTime: time.Second, misses: 3, pauseGap: time.Second, digestStreak: 10,
 		accepts: func(current, next uint64) bool { return next > current },
+		quorum:  func(group int) int { return group/2 + 1 },
 	}
 }
--- a/fleet/seat.go
+++ b/fleet/seat.go
@@ -36,6 +36,14 @@
 	return !held && n.now.Before(l.abstainUntil)
 }
 
+// abstainAll treats all seats of this node as newly taken. While it was paused or thought Down,
+// another node may have had them and given promises.
+func (n *Node) abstainAll() {
+	for _, l := range n.order {
+		l.abstainUntil = later(l.abstainUntil, n.now.Add(n.rules.seatAbstention))
+	}
+}
+
 // promise decides on a claim. The item is the answer to a claimant that is refused.
 func (n *Node) promise(l *lease, c claimant, it LeaseItem) (LeaseItem, bool) {
 	deny := LeaseItem{Service: it.Service, Slice: it.Slice, Round: it.Round}
@@ -57,9 +65,27 @@
 	l.to, l.granted = c, it.Round
 	l.expires = n.now.Add(n.rules.promiseTime)
 	l.idleSince = l.expires
+	it.Provisional = n.isProvisional(l)
 	return it, true
 }
 
+// isProvisional reports whether this node has its seat only because a member with a better right to
+// it is Down. That member may live behind a partition and promise the slice there.
+func (n *Node) isProvisional(l *lease) bool {
+	g := l.slot.groups[l.seat%len(l.slot.groups)]
+	rank := l.seat / len(l.slot.groups)
+	for _, r := range n.table.lost {
+		_, listed := n.vms[r.Address]
+		if r.FailureDomain != g.domain.name || r.left || n.vms != nil && !listed {
+			continue
+		}
+		if n.now.Sub(r.downSince) < n.rules.provisionalTime && l.slot.better(g.domain, r, n.self) {
+			rank++
+		}
+	}
+	return rank >= g.wanted
+}
+
 // givesWay cancels this node's own claim, if it is not granted yet, in favour of a better seat.
 func (n *Node) givesWay(l *lease, c claimant) bool {
 	own := claimant{n.self.Address, n.self.Incarnation}
--- /dev/null
+++ b/fleet/sim_test.go
@@ -0,0 +1,321 @@
+package fleet
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// The simulation passes messages between nodes in virtual time. It has no hosts, no bandwidth and
+// no model of latency: a message takes 1 ms to 5 ms unless a fault says otherwise.
+
+const (
+	simNodes    = 9
+	simDomains  = 3
+	simServices = 4
+	simWarmUp   = 15 * time.Second
+	// simSettle is how long after the last fault views may differ.
+	simSettle = 60 * time.Second
+	// simDrain is how long a holder works on before it releases a slice.
+	simDrain = 300 * time.Millisecond
+	// simDrift is the largest difference of a clock's rate from true time.
+	simDrift = 0.02
+)
+
+var simEpoch = time.Unix(1_800_000_000, 0).UTC()
+
+// proc is one process. A replacement is another proc, on the same address or another.
+type proc struct {
+	id      int
+	address netip.AddrPort
+	node    *Node
+	rate    float64
+	offset  time.Duration
+	dead    bool
+	gone    bool
+	paused  bool
+	inbox   []packet
+	version uint64
+	// floor is the version that the process must have when it becomes ready.
+	floor    uint64
+	draining map[sliceKey]bool
+}
+
+// local converts true time to the clock of the process.
+func (p *proc) local(t time.Duration) time.Time {
+	return simEpoch.Add(p.offset + time.Duration(float64(t)*p.rate))
+}
+
+// global converts a reading of the clock of the process to true time.
+func (p *proc) global(t time.Time) time.Duration {
+	return time.Duration(float64(t.Sub(simEpoch)-p.offset) / p.rate)
+}
+
+type packet struct {
+	from, to *proc
+	address  netip.AddrPort
+	m        Message
+}
+
+// right is a process's right to use a slice, in true time.
+type right struct{ begin, end time.Duration }
+
+type simEvent struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+type sim struct {
+	rules  rules
+	rng    *rand.Rand
+	now    time.Duration
+	queue  simQueue
+	seq    int
+	procs  []*proc
+	byAddr map[netip.AddrPort]*proc
+	docs   map[uint64]*conf.Document
+	latest uint64
+	// blocked counts the faults that block messages from one address to another.
+	blocked map[[2]netip.AddrPort]int
+	drop    float64
+	double  float64
+	delay   time.Duration
+	rights  map[sliceKey]map[*proc]right
+	// split is until when two majorities of seats may exist.
+	split    time.Duration
+	linkOnly bool
+	found    *violation
+	trace    []string
+	messages int
+	bytes    int
+}
+
+func newSim(seed uint64, r rules) *sim {
+	s := &sim{
+		rules: r, rng: rand.New(rand.NewPCG(seed, 1)), byAddr: make(map[netip.AddrPort]*proc),
+		docs: make(map[uint64]*conf.Document), blocked: make(map[[2]netip.AddrPort]int),
+		rights: make(map[sliceKey]map[*proc]right),
+	}
+	s.publish(nil)
+	for i := range simNodes {
+		s.start(simAddress(i), s.latest)
+	}
+	s.listVMs()
+	return s
+}
+
+func simAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+}
+
+func simDomain(a netip.AddrPort) string {
+	return fmt.Sprint("d", int(a.Addr().As4()[3])%simDomains)
+}
+
+// publish adds the next document to the platform.
+func (s *sim) publish(out map[string]bool) *conf.Document {
+	s.latest++
+	d := &conf.Document{Version: s.latest}
+	for i := range simDomains {
+		f := conf.FailureDomain{Name: fmt.Sprint("d", i), State: conf.DomainIn}
+		if out[f.Name] {
+			f.State = conf.DomainOut
+		}
+		d.FailureDomains = append(d.FailureDomains, f)
+	}
+	for i := range simServices {
+		d.Services = append(d.Services, conf.Service{Name: fmt.Sprint("s", i)})
+	}
+	s.docs[s.latest] = d
+	return d
+}
+
+func (s *sim) at(t time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.queue, simEvent{max(t, s.now), s.seq, run})
+}
+
+func (s *sim) logf(format string, args ...any) {
+	s.trace = append(s.trace, fmt.Sprintf("%s ", s.now)+fmt.Sprintf(format, args...))
+}
+
+// start runs a new process with the document that the platform gives it.
+func (s *sim) start(a netip.AddrPort, version uint64) {
+	p := &proc{
+		id: len(s.procs), address: a, rate: 1 + simDrift*(2*s.rng.Float64()-1),
+		offset: time.Duration(s.rng.IntN(50)) * time.Millisecond, draining: make(map[sliceKey]bool),
+	}
+	now := p.local(s.now)
+	p.node = newNode(Config{
+		Member: Member{Address: a, Caller: a, FailureDomain: simDomain(a)}, Start: now,
+	}, now, s.rules)
+	var versions []uint64
+	for _, o := range s.byAddr {
+		if o.address == a {
+			continue
+		}
+		v := o.version
+		if o.dead {
+			v = 0
+		}
+		versions = append(versions, v)
+	}
+	slices.Sort(versions)
+	if s.now > 0 && len(versions) == simNodes-1 {
+		p.floor = versions[simNodes/2-1]
+	}
+	s.procs = append(s.procs, p)
+	s.byAddr[a] = p
+	s.logf("start %d at %s with version %d", p.id, a, version)
+	s.give(p, version)
+	s.tick(p, s.now+time.Duration(s.rng.IntN(100))*time.Millisecond)
+}
+
+func (s *sim) give(p *proc, version uint64) {
+	out, err := p.node.SetDocument(p.local(s.now), s.docs[version], fmt.Sprint("h", version))
+	if err != nil {
+		return
+	}
+	if version < p.version {
+		s.fail(noReversal, "process %d went from version %d to %d", p.id, p.version, version)
+	}
+	p.version = version
+	s.carryOut(p, out)
+}
+
+// listVMs gives the platform's list, which names all addresses in use, to all processes.
+func (s *sim) listVMs() {
+	var vms []wire.VM
+	for _, a := range slices.SortedFunc(maps.Keys(s.byAddr), netip.AddrPort.Compare) {
+		if !s.byAddr[a].gone {
+			vms = append(vms, wire.VM{Address: a, Role: wire.RoleEntry, State: wire.VMLive})
+		}
+	}
+	for _, p := range s.procs {
+		if !p.dead {
+			s.carryOut(p, p.node.SetVMs(p.local(s.now), vms))
+		}
+	}
+}
+
+func (s *sim) tick(p *proc, at time.Duration) {
+	s.at(at, func() {
+		if p.dead {
+			return
+		}
+		if !p.paused {
+			s.carryOut(p, p.node.Tick(p.local(s.now)))
+			s.drain(p)
+		}
+		s.tick(p, s.now+TickEvery)
+	})
+}
+
+// drain releases leases as a node does when its work in flight has ended.
+func (s *sim) drain(p *proc) {
+	for _, l := range p.node.order {
+		key := l.sliceKey
+		if !p.node.Draining(p.local(s.now), key.service, key.slice) || p.draining[key] {
+			continue
+		}
+		p.draining[key] = true
+		s.at(s.now+simDrain, func() {
+			p.draining[key] = false
+			if !p.dead && !p.paused && p.node.Draining(p.local(s.now), key.service, key.slice) {
+				s.carryOut(p, p.node.Release(p.local(s.now), key.service, key.slice))
+			}
+		})
+	}
+}
+
+func (s *sim) carryOut(p *proc, out []Output) {
+	for _, o := range out {
+		if o.Event != nil {
+			s.handle(p, *o.Event)
+			continue
+		}
+		size := jsonSize(o.Message) - 1
+		s.messages, s.bytes = s.messages+1, s.bytes+size
+		if size > MaxMessage {
+			s.fail(smallEnough, "%s of %d bytes", o.Message.Kind, size)
+		}
+		s.transmit(packet{from: p, to: s.byAddr[o.To], address: o.To, m: *o.Message})
+	}
+}
+
+func (s *sim) transmit(k packet) {
+	copies := 1
+	if s.rng.Float64() < s.double {
+		copies = 2
+	}
+	for range copies {
+		if s.rng.Float64() < s.drop {
+			continue
+		}
+		took := time.Millisecond + time.Duration(s.rng.Int64N(int64(4*time.Millisecond)))
+		if s.delay > 0 {
+			took += time.Duration(s.rng.Int64N(int64(s.delay)))
+		}
+		s.at(s.now+took, func() { s.deliver(k) })
+	}
+}
+
+func (s *sim) deliver(k packet) {
+	// A datagram reaches whatever process has the address when it arrives.
+	to := s.byAddr[k.address]
+	if to == nil || to.dead || s.blocked[[2]netip.AddrPort{k.from.address, k.address}] > 0 {
+		return
+	}
+	if to.paused {
+		to.inbox = append(to.inbox, k)
+		return
+	}
+	s.carryOut(to, to.node.Handle(to.local(s.now), k.from.address, k.m))
+}
+
+// pull gets a document or table over HTTP, which a partition blocks in the same way.
+func (s *sim) pull(p *proc, e Event) {
+	o := s.byAddr[e.Peer]
+	pair := [2]netip.AddrPort{p.address, e.Peer}
+	back := [2]netip.AddrPort{e.Peer, p.address}
+	if o == nil || o.dead || o.paused || p.dead || p.paused || s.blocked[pair]+s.blocked[back] > 0 {
+		return
+	}
+	if e.Kind == ConfigNewer {
+		s.give(p, o.version)
+		return
+	}
+	s.carryOut(p, p.node.Merge(p.local(s.now), e.Peer, o.node.Table()))
+}
+
+// run processes events until the given time or the first violation.
+func (s *sim) run(until time.Duration) {
+	for s.found == nil && len(s.queue) > 0 && s.queue[0].at <= until {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.run()
+	}
+	s.now = max(s.now, until)
+}
