Check order keys for at most one run

Cause: a table that runs a key twice bills a member twice.

Change: a simulation of three issuers and one backend server under crash, replacement, pause, loss, doubled messages, resend and clock steps, checked directly and with porcupine, and one variant for each rule that the check must reject. Retry of an Unknown key now closes it, because the failure is certain.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -66,7 +66,8 @@
 // Decision is the answer to Begin.
 type Decision struct {
 	Action Action
-	// Alone means that no other request may run on the server of the canary.
+	// Alone means that no other request may run on the server of the canary, and that Suspected
+	// must be false for the server.
 	Alone bool
 	// Until is the time at which a refusal ends, zero when it is not known.
 	Until time.Time
@@ -140,7 +141,7 @@
 	// caller with a short timeout could lose a server with each attempt.
 	count, until := g.suspicions(now, f)
 	if count > 0 && crashes+count >= crashLimit {
-		return Decision{Action: Refuse, Until: until, Reason: wire.ReasonQuarantine}
+		return Decision{Action: Refuse, Until: until, Reason: wire.ReasonOverload}
 	}
 	g.canaries[f] = &canary[I]{id: r.ID}
 	return Decision{Action: RunCanary, Alone: crashes > 0}
--- a/guard/mark.go
+++ b/guard/mark.go
@@ -41,6 +41,13 @@
 	return count, until
 }
 
+// Suspected reports whether the server may still run a canary that ended without an outcome.
+func (g *Guard[I]) Suspected(now time.Time, server netip.AddrPort) bool {
+	return slices.ContainsFunc(g.suspects, func(s suspect) bool {
+		return s.server == server && now.Before(s.until)
+	})
+}
+
 func (g *Guard[I]) forgetSuspects(f Fingerprint) {
 	g.suspects = slices.DeleteFunc(g.suspects, func(s suspect) bool { return s.fingerprint == f })
 }
--- a/order/key.go
+++ b/order/key.go
@@ -16,6 +16,8 @@
 	keyFormat = 1
 	// maxName bounds the names of service and caller in a key, in bytes.
 	maxName = 256
+	// maxAddress bounds the binary form of the issuer's address, in bytes.
+	maxAddress = 64
 	// maxText bounds the text form of a key, in bytes.
 	maxText = 1024
 	// minSecret is the shortest fleet key in bytes.
@@ -70,6 +72,9 @@
 	if err != nil {
 		return "", errors.Wrap(err, "order: address of the issuer")
 	}
+	if len(b)-2 > maxAddress {
+		return "", errors.Newf("order: the address of the issuer is above %d bytes", maxAddress)
+	}
 	b[1] = byte(len(b) - 2)
 	b = binary.BigEndian.AppendUint64(b, k.Incarnation)
 	b = binary.BigEndian.AppendUint64(b, k.Serial)
--- /dev/null
+++ b/order/order_test.go
@@ -0,0 +1,214 @@
+package order
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// specification is one key as a caller may see it: fresh, closed, or run once with a body. A send
+// whose outcome is unknown may take effect at any later time.
+var specification = (&porcupine.NondeterministicModel{
+	Partition: func(ops []porcupine.Operation) [][]porcupine.Operation {
+		index := make(map[string]int)
+		var parts [][]porcupine.Operation
+		for _, o := range ops {
+			k := o.Input.(call).key
+			if _, ok := index[k]; !ok {
+				index[k] = len(parts)
+				parts = append(parts, nil)
+			}
+			parts[index[k]] = append(parts[index[k]], o)
+		}
+		return parts
+	},
+	Init: func() []any { return []any{"fresh"} },
+	Step: func(state, input, output any) []any {
+		c, r := input.(call), output.(reply)
+		done := fmt.Sprintf("done %d", c.body)
+		switch {
+		case r.outcome == wire.Unknown && c.send && c.owner && state == "fresh" && r.reason != wire.ReasonKeyForeign:
+			return []any{state, done}
+		case r.outcome == wire.Unknown:
+			return []any{state}
+		case !c.owner:
+			return legal(r.outcome == wire.Refused, state)
+		case r.outcome == wire.Refused:
+			return legal(state == "fresh" || state == "closed", "closed")
+		case c.send:
+			return legal((state == "fresh" || state == done) && r.body == c.body && r.run == 1, done)
+		}
+		return legal(state == fmt.Sprintf("done %d", r.body) && r.run == 1, state)
+	},
+}).ToModel()
+
+func legal(ok bool, next any) []any {
+	if !ok {
+		return nil
+	}
+	return []any{next}
+}
+
+// violation runs the actions and returns what is wrong with the outcome, or "".
+func violation(broken rule, actions []uint32) string {
+	w := newWorld(broken)
+	for _, v := range actions {
+		w.step(v)
+	}
+	refused := make(map[string]bool)
+	for _, o := range w.ops {
+		c, r := o.Input.(call), o.Output.(reply)
+		refused[c.key] = refused[c.key] || c.owner && r.outcome == wire.Refused
+	}
+	for k, n := range w.runs {
+		if n > 1 {
+			return fmt.Sprintf("a key ran %d times", n)
+		}
+		if refused[k] {
+			return "a key ran although it was refused as not run"
+		}
+	}
+	if v := porcupine.CheckOperationsTimeout(specification, w.ops, 5*time.Second); v != porcupine.Ok {
+		return "the history is " + string(v)
+	}
+	return ""
+}
+
+// TestAtMostOnce guards against a key that runs twice or runs after "not run", under crash,
+// replacement, pause, loss, doubled messages, resend and a clock that steps back.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		actions := rapid.SliceOfN(rapid.Uint32(), 50, 300).Draw(t, "actions")
+		if v := violation("", actions); v != "" {
+			t.Fatal(v)
+		}
+	})
+}
+
+// TestBrokenRulesAreFound guards against a check that passes whatever the table does.
+func TestBrokenRulesAreFound(t *testing.T) {
+	for _, broken := range []rule{
+		restartKeepsIncarnation, forgottenIsIssued, retryAfterLoss, lossCloses, unknownStarts,
+		runningStarts, closedStarts, oldAttemptCounts, expiredRevives, otherBodyFits, otherCallerFits,
+	} {
+		t.Run(string(broken), func(t *testing.T) {
+			for seed := range uint64(3000) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				actions := make([]uint32, 200)
+				for i := range actions {
+					actions[i] = random.Uint32()
+				}
+				if v := violation(broken, actions); v != "" {
+					t.Logf("seed %d: %s", seed, v)
+					return
+				}
+			}
+			t.Fatal("not found")
+		})
+	}
+}
+
+// TestBounds guards against a table that grows without limit and against "not run" for an order
+// whose outcome was forgotten.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	w := newWorld("")
+	v, err := NewTable(Config{
+		Issuer: netip.MustParseAddrPort("127.0.0.1:7000"), Incarnation: 1, Signer: w.signer,
+		MaxKeys: 3, MaxResults: 10,
+	})
+	is.NoErr(err)
+	now := w.now
+	keys, f := v.Issue(now, "clogs", "school", 3)
+	is.True(f == nil)
+	_, f = v.Issue(now, "clogs", "school", 1)
+	is.Equal(f.Reason, wire.ReasonOverload)
+	r := Request{Key: keys[0].Key, Service: "clogs", Caller: "school", Kind: "place", Body: json.RawMessage(`{"a": "<"}`)}
+	o := v.Start(now, r)
+	is.True(o.Run)
+	is.True(v.Finish(now, o.Attempt, json.RawMessage(`"0123456789"`)))
+	r.Body = json.RawMessage(`{"a":"\u003c"}`) // the form after a relay
+	is.Equal(v.Start(now, r).State, Done)
+	r.Key = keys[1].Key
+	is.Equal(v.Start(now, r).Failure.Reason, wire.ReasonOverload)
+	now = now.Add(defaultLifetime)
+	r.Key = keys[2].Key
+	o = v.Start(now, r)
+	is.True(o.Failure.NotRun)
+	is.Equal(o.Failure.Reason, wire.ReasonKeyExpired)
+	v.Expire(now.Add(defaultKeep))
+	is.Equal(v.Len(), 0)
+	is.Equal(v.results, 0)
+	r.Key = keys[0].Key
+	o = v.LookUp(now.Add(defaultKeep), r)
+	is.Equal(o.Failure.Outcome, wire.Unknown)
+	v.Stop()
+	_, f = v.Issue(now, "clogs", "school", 1)
+	is.Equal(f.Reason, wire.ReasonStopping)
+}
+
+// TestForgedKey guards against a key that callers can make or change, and against "not run" for one
+// whose fleet key was rotated out.
+func TestForgedKey(t *testing.T) {
+	is := is.New(t)
+	w := newWorld("")
+	keys, _ := w.tables[0].Issue(w.now, "clogs", "school", 1)
+	text := keys[0].Key
+	for i := range text {
+		for _, c := range "AQgw_" {
+			forged := text[:i] + string(c) + text[i+1:]
+			if _, err := w.signer.Parse(forged); forged != text && err == nil {
+				t.Fatalf("accepted with %q at %d", c, i)
+			}
+		}
+	}
+	rotated, err := NewSigner([][]byte{[]byte("fedcba9876543210"), []byte("0123456789abcdef")})
+	is.NoErr(err)
+	_, err = rotated.Parse(text)
+	is.NoErr(err)
+	later, err := NewSigner([][]byte{[]byte("fedcba9876543210")})
+	is.NoErr(err)
+	_, err = later.Parse(text)
+	is.True(errors.Is(err, ErrForged))
+	w.tables[0].config.Signer = later
+	f := w.tables[0].Start(w.now, Request{Key: text, Service: "clogs", Caller: "school"}).Failure
+	is.Equal(f.Outcome, wire.Unknown)
+	is.True(!f.Forwarded)
+}
+
+// FuzzKey guards against a panic on foreign input and against two texts of one key.
+func FuzzKey(f *testing.F) {
+	w := newWorld("")
+	keys, _ := w.tables[0].Issue(w.now, "clogs", "school", 1)
+	f.Add(keys[0].Key)
+	f.Add(strings.Repeat("A", maxText))
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := w.signer.Parse(text); err != nil && !errors.IsAny(err, ErrMalformed, ErrForged) {
+			t.Fatal(err)
+		}
+		b, err := encoding.DecodeString(text)
+		k, ok := parseBody(b)
+		if err != nil || !ok || len(b) > maxText/2 {
+			return
+		}
+		signed, err := w.signer.Sign(k)
+		if err != nil {
+			t.Skip(err)
+		}
+		c, _ := encoding.DecodeString(signed)
+		if got, err := w.signer.Parse(signed); err != nil || got != k || string(c[:len(b)]) != string(b) {
+			t.Fatalf("%x becomes %x: %v", b, c, err)
+		}
+	})
+}
--- a/order/table.go
+++ b/order/table.go
@@ -171,16 +171,13 @@
 	return e, nil
 }
 
-// Retry states that the attempt has certainly not run, and returns the next attempt. It returns
-// false when there may be none: the key is closed with the failure if it was Running and has
-// expired. The failure must have NotRun set.
+// Retry states that the attempt has certainly not run, and returns the next attempt. When there may
+// be none, because the key has expired or is Unknown, it closes the key with the failure and
+// returns false. The failure must have NotRun set.
 func (t *Table) Retry(now time.Time, a Attempt, f *wire.Failure) (Attempt, bool) {
 	t.observe(now)
 	e := t.current(a)
-	if e == nil || e.state != Running {
-		return Attempt{}, false
-	}
-	if e.expired(t.now) {
+	if e == nil || e.state != Running || e.expired(t.now) || !f.NotRun {
 		t.Close(now, a, f)
 		return Attempt{}, false
 	}
