Add the demo: three nodes on stand-ins, a failure domain out under load

Cause: a newcomer needs one command that shows the whole path and its promises. Change: package demo embeds stand-ins and nodes, sends queries and orders, takes a domain out and back, and compares what callers were told with what ran.

--- /dev/null
+++ b/demo.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/arbutusthread/arbutusthread/demo"
+)
+
+// demonstration runs a fleet on stand-ins.
+type demonstration struct {
+	*shell
+	verbose bool
+}
+
+func newDemo(s *shell, parent *ff.FlagSet) *ff.Command {
+	c := &demonstration{shell: s}
+	flags := ff.NewFlagSet("demo").SetParent(parent)
+	flags.BoolVar(&c.verbose, 'v', "verbose", "print the log of the nodes to the standard error")
+	return &ff.Command{
+		Name:      "demo",
+		Usage:     "arbutusthread demo [FLAGS]",
+		ShortHelp: "run three nodes on stand-ins and take a failure domain out under load",
+		LongHelp: `Runs in one process on loopback in about 20 seconds and prints what happened. Exits
+with 1 if a promise was broken.
+
+Example:
+  arbutusthread demo`,
+		Flags: flags,
+		Exec:  c.exec,
+	}
+}
+
+func (c *demonstration) exec(ctx context.Context, args []string) error {
+	if err := wantArgs(args, 0, 0, "no arguments"); err != nil {
+		return err
+	}
+	log := slog.New(slog.DiscardHandler)
+	if c.verbose {
+		log = slog.New(slog.NewTextHandler(c.err, nil))
+	}
+	return demo.Run(ctx, demo.Config{Out: c.out, Log: log})
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,156 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/call"
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/load"
+	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// ErrBroken means that a promise was broken in the run.
+var ErrBroken = errors.New("demo: a promise was broken")
+
+const (
+	service    = "service-0"
+	domainIn   = "Lukang"
+	domainOut  = "Yilan"
+	loadTime   = 12 * time.Second
+	outAt      = 3 * time.Second
+	backAt     = 8 * time.Second
+	loadRate   = 120
+	loadSeed   = 1
+	demoShards = 8
+)
+
+// Config describes a run.
+type Config struct {
+	Out io.Writer
+	Log *slog.Logger
+}
+
+// Run runs the demonstration and prints what happens. It takes about 20 s. It returns ErrBroken when
+// a check failed.
+func Run(ctx context.Context, c Config) error {
+	fmt.Fprintln(c.Out, "starting the platform, 4 backend servers in 2 failure domains and 3 nodes")
+	f, err := StartFleet(ctx, FleetConfig{
+		Stand: stand.FleetConfig{Seed: loadSeed, Layout: stand.Layout{
+			Services: 1, Shards: demoShards, Replicas: 2, Servers: 4, Slots: 6, Domains: []string{domainIn, domainOut},
+		}},
+		Domains: []string{domainIn, domainOut, domainIn}, KeepFor: time.Second, Log: c.Log,
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	fmt.Fprintf(c.Out, "ready; %d requests a second for %v: lookup, stock, order\n", loadRate, loadTime)
+	h := newHistory()
+	report, err := f.load(ctx, c.Out, h)
+	if err != nil {
+		return err
+	}
+	if err := report.WriteText(c.Out); err != nil {
+		return err
+	}
+	return printChecks(c.Out, h.checks(f))
+}
+
+func (f *Fleet) load(ctx context.Context, out io.Writer, h *history) (*load.Report, error) {
+	client, err := call.New(call.Config{Seeds: f.Seeds(), Key: stand.CallerKey, Seed: loadSeed})
+	if err != nil {
+		return nil, err
+	}
+	defer client.Close()
+	script := make(chan error, 1)
+	go func() { script <- f.moveDomain(ctx, out) }()
+	report, err := load.Run(ctx, load.Config{
+		Title: "demo", Rate: loadRate, Duration: loadTime, Seed: loadSeed,
+		Kinds: []load.Kind{{Name: "lookup", Worth: 1, Share: 6}, {Name: "stock", Worth: 5, Share: 3}, {Name: "order", Worth: 10, Share: 1}},
+	}, func(ctx context.Context, q load.Request) load.Result { return perform(ctx, client, h, q) })
+	if err != nil {
+		return nil, err
+	}
+	return report, <-script
+}
+
+// moveDomain takes a failure domain out and brings it back. Its servers are marked when the bound
+// for new work has passed.
+func (f *Fleet) moveDomain(ctx context.Context, out io.Writer) error {
+	wait(ctx, outAt)
+	fmt.Fprintf(out, "operators take failure domain %s out\n", domainOut)
+	if err := f.SetDomain(domainOut, conf.DomainOut); err != nil {
+		return err
+	}
+	wait(ctx, domainOutBound)
+	for _, s := range f.Servers(domainOut) {
+		s.Mark()
+	}
+	wait(ctx, backAt-outAt-domainOutBound)
+	// Work after the return is allowed, so the figures are read before.
+	before := checkDomainOut(f.Servers(domainOut))
+	fmt.Fprintf(out, "%s is brought back; new work since it was out for %v: %s\n", domainOut, domainOutBound, before.Seen)
+	for _, s := range f.Servers(domainOut) {
+		s.Mark()
+	}
+	if !before.Kept {
+		return errors.Wrap(ErrBroken, before.Name)
+	}
+	return f.SetDomain(domainOut, conf.DomainIn)
+}
+
+func perform(ctx context.Context, client *call.Client, h *history, q load.Request) load.Result {
+	if q.Kind.Name == "order" {
+		body, _ := json.Marshal(struct{ Pairs uint64 }{q.Random % 100})
+		r := client.Order(ctx, service, call.Order{Kind: "order", Body: body, Timeout: time.Second})
+		if r.Key != "" {
+			h.order(r.Key, r.Outcome)
+		}
+		return load.Result{Outcome: r.Outcome, NotRun: r.Outcome == wire.Refused, Coverage: 1}
+	}
+	id := "demo-" + strconv.Itoa(q.Number)
+	a, err := client.Query(ctx, service, wire.Query{
+		RequestID: id, Kind: q.Kind.Name, Query: "pairs " + strconv.FormatUint(q.Random%50, 10),
+	})
+	if err != nil {
+		h.refusal()
+		f := wire.AsFailure(err)
+		return load.Result{Outcome: f.Outcome, NotRun: f.NotRun}
+	}
+	h.answer(id, a)
+	return load.Result{Outcome: a.Outcome, Coverage: a.Coverage.Share()}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func printChecks(out io.Writer, list []Check) error {
+	broken := false
+	fmt.Fprintln(out)
+	for _, c := range list {
+		word := "kept  "
+		if !c.Kept {
+			word, broken = "BROKEN", true
+		}
+		fmt.Fprintf(out, "%s  %s: %s\n", word, c.Name, c.Seen)
+	}
+	if broken {
+		return ErrBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,143 @@
+package demo
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/serve"
+	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+const (
+	// fleetKeyBytes is the length of the key that the nodes share.
+	fleetKeyBytes = 32
+	// readyTime is the longest time from the start of a fleet until it answers.
+	readyTime = 15 * time.Second
+	pollTime  = 10 * time.Millisecond
+)
+
+// FleetConfig describes a fleet of nodes on stand-ins.
+type FleetConfig struct {
+	Stand stand.FleetConfig
+	// Domains has the failure domain of each node.
+	Domains []string
+	KeepFor time.Duration
+	Log     *slog.Logger
+}
+
+// Fleet is a set of running nodes in this process with their stand-ins.
+type Fleet struct {
+	*stand.Fleet
+	Nodes []*serve.Node
+
+	config FleetConfig
+	key    string
+	vms    []wire.VM
+	wait   sync.WaitGroup
+	cancel context.CancelFunc
+}
+
+// StartFleet starts the stand-ins and the nodes and waits until each node serves callers.
+func StartFleet(ctx context.Context, c FleetConfig) (*Fleet, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	outside, err := stand.StartFleet(ctx, c.Stand)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	key := make([]byte, fleetKeyBytes)
+	_, _ = rand.Read(key)
+	f := &Fleet{Fleet: outside, config: c, key: hex.EncodeToString(key), cancel: cancel}
+	for i, d := range c.Domains {
+		if err := f.start(ctx, fmt.Sprintf("entry-%d", i+1), d); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	f.SetEntryVMs(f.vms)
+	if err := f.awaitReady(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context, name, domain string) error {
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	n, err := serve.New(serve.Config{Log: f.config.Log, Settings: &conf.Settings{
+		Name: name, FailureDomain: domain, Region: "demo", CallerAddress: loopback, PeerAddress: loopback,
+		OpsAddress: loopback, Platform: f.URL, FleetKeys: []string{f.key},
+		KeepFor: wire.Duration(f.config.KeepFor), Limits: limits(),
+	}})
+	if err != nil {
+		return err
+	}
+	f.Nodes = append(f.Nodes, n)
+	f.vms = append(f.vms, wire.VM{
+		Address: n.PeerAddress(), Role: wire.RoleEntry, FailureDomain: domain, State: wire.VMLive,
+	})
+	f.wait.Go(func() {
+		if err := n.Run(ctx); err != nil {
+			f.config.Log.Error("node ended", "Name", name, "Error", err)
+		}
+	})
+	return nil
+}
+
+func limits() conf.Limits {
+	return conf.Limits{
+		BodyBytes: conf.DefaultBodyBytes, AnswerBytes: conf.DefaultAnswerBytes, TopK: conf.DefaultTopK,
+		CallerConnections: conf.DefaultCallerConnections, OrderKeyBatch: conf.DefaultOrderKeyBatch,
+		OrderKeys: conf.DefaultOrderKeys, Decisions: conf.DefaultDecisions,
+	}
+}
+
+// awaitReady waits until all nodes are ready and each slice has a home.
+func (f *Fleet) awaitReady(ctx context.Context) error {
+	for end := time.Now().Add(readyTime); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(pollTime) {
+		if f.ready() {
+			return nil
+		}
+	}
+	return errors.Newf("demo: the fleet is not ready after %v", readyTime)
+}
+
+func (f *Fleet) ready() bool {
+	slices := 0
+	for _, s := range f.Document().Services {
+		slices += s.SliceCount()
+	}
+	for _, n := range f.Nodes {
+		if !n.Ready() {
+			return false
+		}
+		slices -= len(n.Status().Homes)
+	}
+	return slices <= 0
+}
+
+// Seeds returns the callers' addresses of the nodes.
+func (f *Fleet) Seeds() []netip.AddrPort {
+	list := make([]netip.AddrPort, len(f.Nodes))
+	for i, n := range f.Nodes {
+		list[i] = n.CallerAddress()
+	}
+	return list
+}
+
+// Close ends the nodes and the stand-ins.
+func (f *Fleet) Close() {
+	f.cancel()
+	f.wait.Wait()
+	f.Fleet.Close()
+}
--- a/main.go
+++ b/main.go
@@ -69,6 +69,7 @@
 		newOrder,
 		newStatus,
 		newExplain,
+		newDemo,
 	} {
 		x := c(s, flags)
 		exec := x.Exec
