--- a/main.go
+++ b/main.go
@@ -69,6 +69,9 @@
 		newOrder,
 		newStatus,
 		newExplain,
+		newServe,
+		newStandin,
+		newLoad,
 		newDemo,
 	} {
 		x := c(s, flags)
--- /dev/null
+++ b/serve.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/serve"
+)
+
+// server runs one node.
+type server struct {
+	*shell
+	settings string
+}
+
+func newServe(s *shell, parent *ff.FlagSet) *ff.Command {
+	c := &server{shell: s}
+	flags := ff.NewFlagSet("serve").SetParent(parent)
+	flags.StringVar(&c.settings, 's', "settings", "", "settings file of the node")
+	return &ff.Command{
+		Name:      "serve",
+		Usage:     "arbutusthread serve --settings FILE",
+		ShortHelp: "run one node",
+		LongHelp: `Logs JSON lines to the standard error. The first SIGTERM or SIGINT stops the node in a
+planned way: it finishes its work, hands its leases over and relays for callers
+that keep its address. A second one ends it at once. Exits with 4 if the settings
+have faults, and with 1 if a socket fails.
+
+Example:
+  arbutusthread serve --settings examples/node.json`,
+		Flags: flags,
+		Exec:  c.exec,
+	}
+}
+
+func (c *server) exec(ctx context.Context, args []string) error {
+	if err := wantArgs(args, 0, 0, "no arguments"); err != nil {
+		return err
+	}
+	if c.settings == "" {
+		return usagef("--settings is required")
+	}
+	settings, err := c.load()
+	if err != nil {
+		return err
+	}
+	log := slog.New(slog.NewJSONHandler(c.err, &slog.HandlerOptions{Level: settings.Log.SlogLevel()}))
+	n, err := serve.New(serve.Config{Settings: settings, Log: log})
+	if err != nil {
+		return err
+	}
+	return runNode(ctx, n)
+}
+
+func (c *server) load() (*conf.Settings, error) {
+	b, err := c.readFile(c.settings)
+	if err != nil {
+		return nil, err
+	}
+	settings, err := conf.ParseSettings(b)
+	if err != nil {
+		return nil, exitWith(exitInvalid, err)
+	}
+	if err := settings.Check().Err(); err != nil {
+		return nil, exitWith(exitInvalid, err)
+	}
+	return settings, nil
+}
+
+// runNode runs the node until it has stopped. The context ends at the first signal.
+func runNode(ctx context.Context, n *serve.Node) error {
+	running, cut := context.WithCancel(context.WithoutCancel(ctx))
+	defer cut()
+	stop := context.AfterFunc(ctx, func() {
+		again := make(chan os.Signal, 1)
+		signal.Notify(again, os.Interrupt, syscall.SIGTERM)
+		go func() {
+			<-again
+			cut()
+		}()
+		n.Stop(running)
+	})
+	defer stop()
+	return n.Run(running)
+}
--- /dev/null
+++ b/standin.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// standin runs the stand-ins of the platform and the backend servers.
+type standin struct {
+	*shell
+	config   string
+	platform string
+	nodes    []string
+	latency  time.Duration
+	seed     uint64
+}
+
+func newStandin(s *shell, parent *ff.FlagSet) *ff.Command {
+	c := &standin{shell: s}
+	flags := ff.NewFlagSet("standin").SetParent(parent)
+	flags.StringVar(&c.config, 'c', "config", "", "configuration document to publish; its servers are started on their addresses")
+	flags.StringVar(&c.platform, 'p', "platform", "127.0.0.1:7300", "address of the platform")
+	flags.StringListVar(&c.nodes, 'n', "node", "entry VM as DOMAIN=PEERADDRESS, repeatable (default: those of examples/node*.json)")
+	flags.DurationVar(&c.latency, 'l', "latency", 2*time.Millisecond, "median latency of a warm server")
+	flags.Uint64Var(&c.seed, 0, "seed", 1, "seed of latencies and faults")
+	return &ff.Command{
+		Name:      "standin",
+		Usage:     "arbutusthread standin --config FILE",
+		ShortHelp: "run stand-ins of the platform and the backend servers",
+		LongHelp: `Runs on loopback until it is interrupted. Operators publish a new document with
+PUT /v1/config and a list of VMs with PUT /v1/vms at the platform's address.
+
+Example:
+  arbutusthread standin --config examples/tw-west.json`,
+		Flags: flags,
+		Exec:  c.exec,
+	}
+}
+
+// exampleNodes are the entry VMs of examples/node.json, node-2.json and node-3.json.
+var exampleNodes = []string{"Lukang=127.0.0.1:7100", "Yilan=127.0.0.1:7101", "Chiayi=127.0.0.1:7102"}
+
+func (c *standin) exec(ctx context.Context, args []string) error {
+	if err := wantArgs(args, 0, 0, "no arguments"); err != nil {
+		return err
+	}
+	if c.config == "" {
+		return usagef("--config is required")
+	}
+	config, err := c.fleet()
+	if err != nil {
+		return err
+	}
+	vms, err := c.entryVMs()
+	if err != nil {
+		return err
+	}
+	f, err := stand.StartFleet(ctx, config)
+	if err != nil {
+		return errors.Wrap(err, "standin")
+	}
+	defer f.Close()
+	f.SetEntryVMs(vms)
+	fmt.Fprintf(c.out, "%s\n", f)
+	<-ctx.Done()
+	return nil
+}
+
+func (c *standin) fleet() (stand.FleetConfig, error) {
+	b, err := c.readFile(c.config)
+	if err != nil {
+		return stand.FleetConfig{}, err
+	}
+	d, err := conf.ParseDocument(b)
+	if err != nil {
+		return stand.FleetConfig{}, exitWith(exitInvalid, err)
+	}
+	if err := d.Check().Err(); err != nil {
+		return stand.FleetConfig{}, exitWith(exitInvalid, err)
+	}
+	address, err := netip.ParseAddrPort(c.platform)
+	if err != nil {
+		return stand.FleetConfig{}, usagef("--platform: %v", err)
+	}
+	return stand.FleetConfig{
+		Document: d, KeepAddresses: true, PlatformAddress: address, Seed: c.seed,
+		Server: stand.ServerConfig{StartWarm: true, Latency: stand.Latency{Median: c.latency}},
+	}, nil
+}
+
+func (c *standin) entryVMs() ([]wire.VM, error) {
+	if len(c.nodes) == 0 {
+		c.nodes = exampleNodes
+	}
+	var list []wire.VM
+	for _, n := range c.nodes {
+		domain, text, ok := strings.Cut(n, "=")
+		address, err := netip.ParseAddrPort(text)
+		if !ok || err != nil {
+			return nil, usagef("--node: expected DOMAIN=ADDRESS, got %q", n)
+		}
+		list = append(list, wire.VM{Address: address, Role: wire.RoleEntry, FailureDomain: domain, State: wire.VMLive})
+	}
+	return list, nil
+}
