Test the faults of the stand-ins and fuzz the platform client

Cause: tests of other packages rely on these faults, and a restart that came before the old listener had closed could have closed the new one. Change: each incarnation owns its listener, so stopping one leaves the next alone, and Close may be called twice. Record bounds shard requests and orders apart. Tests cover the faults over loopback where sockets matter and in virtual time elsewhere.

--- a/plat/client.go
+++ b/plat/client.go
@@ -125,15 +125,14 @@
 // one before, the caller has not taken the document, and the watch starts with a pause.
 func (c *Client) Watch(ctx context.Context, after uint64) ([]byte, error) {
 	if c.repeated(after) && !c.pause(ctx, 1) {
-		return nil, errors.Wrapf(ctx.Err(), "plat: watch configuration at %s", c.base.Host)
+		return nil, c.ended(ctx, nil)
 	}
 	var last error
 	for failures := 0; ; {
 		raw, err := c.Read(ctx, after, c.config.Wait)
 		switch {
 		case ctx.Err() != nil:
-			return nil, errors.WithSecondaryError(
-				errors.Wrapf(ctx.Err(), "plat: watch configuration at %s: last failure: %v", c.base.Host, last), last)
+			return nil, c.ended(ctx, last)
 		case err != nil:
 			failures++
 			last = err
@@ -149,6 +148,15 @@
 	}
 }
 
+// ended is the error of a watch whose ctx has ended. last is its last failure, or nil.
+func (c *Client) ended(ctx context.Context, last error) error {
+	err := errors.Wrapf(ctx.Err(), "plat: watch configuration at %s", c.base.Host)
+	if last == nil {
+		return err
+	}
+	return errors.WithSecondaryError(errors.Wrapf(err, "last failure: %v", last), last)
+}
+
 func (c *Client) repeated(after uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/plat/client_test.go
@@ -0,0 +1,198 @@
+package plat
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/wire"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// direct passes requests to a handler without sockets, so that tests run in virtual time.
+type direct struct {
+	http.Handler
+}
+
+func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	d.ServeHTTP(w, r)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return w.Result(), nil
+}
+
+func newClient(t *testing.T, h http.Handler) *Client {
+	t.Helper()
+	c, err := New(Config{URL: "http://platform.test", HTTP: &http.Client{Transport: direct{h}}, Seed: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func newPlatform(t *testing.T) *stand.Platform {
+	t.Helper()
+	p, err := stand.NewPlatform(stand.PlatformConfig{Document: stand.Layout{}.Document()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// A reader must outlive a long outage, must not use up the platform's rate meanwhile, and must
+// see the next version soon after it.
+func TestWatchSurvivesOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPlatform(t)
+		c := newClient(t, p)
+		_, err := c.Watch(t.Context(), 0)
+		is.NoErr(err)
+		p.SetFaults(stand.PlatformFaults{Down: true})
+		time.AfterFunc(10*time.Minute, func() {
+			is.NoErr(p.PublishRaw([]byte(`{"Version":2}`)))
+			p.SetFaults(stand.PlatformFaults{})
+		})
+		start := time.Now()
+		raw, err := c.Watch(t.Context(), 1)
+		is.NoErr(err)
+		is.Equal(string(raw), `{"Version":2}`)
+		is.True(time.Since(start) < 10*time.Minute+defaultBackoffMax)
+		s := c.Stats()
+		is.Equal(s.Reads, p.Reads().Total)
+		is.True(s.Reads < 300) // about 5 s between two reads
+		is.Equal(s.FailuresInRow, 0)
+		is.True(errors.Is(s.LastError, ErrDown))
+	})
+}
+
+// A node that refuses a document asks again with its old version. Without a pause it would use
+// up the platform's rate.
+func TestWatchPausesAfterRefusedDocument(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newClient(t, newPlatform(t))
+		start := time.Now()
+		for range 20 {
+			_, err := c.Watch(t.Context(), 0)
+			is.NoErr(err)
+		}
+		is.True(time.Since(start) >= 19*defaultBackoffMin/2)
+	})
+}
+
+// An operator must see from the error which step failed, at which peer, and why.
+func TestErrorsNameStepAndPeer(t *testing.T) {
+	reply := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = w.Write([]byte(body))
+		}
+	}
+	for name, v := range map[string]struct {
+		handler http.HandlerFunc
+		want    error
+	}{
+		"down":          {reply(503, "down"), ErrDown},
+		"limited":       {reply(429, "rate"), ErrLimited},
+		"not found":     {reply(404, "?"), ErrInvalid},
+		"too large":     {reply(200, `{"Version":9,"Preset":"`+strings.Repeat("x", MaxDocument)+`"}`), ErrTooLarge},
+		"cut off":       {reply(200, `{"Version":9,"Pres`), ErrInvalid},
+		"older version": {reply(200, `{"Version":1}`), ErrInvalid},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newClient(t, v.handler)
+			_, err := c.Read(t.Context(), 1, 0)
+			is.True(errors.Is(err, v.want))
+			is.True(strings.HasPrefix(err.Error(), "plat: read configuration at platform.test: "))
+			is.Equal(c.Stats().Failures, uint64(1))
+		})
+	}
+}
+
+// A watch that is stopped must return at once, whatever the platform does, and keep the cause.
+func TestWatchEndsWithContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPlatform(t)
+		p.SetFaults(stand.PlatformFaults{Down: true})
+		c := newClient(t, p)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		start := time.Now()
+		_, err := c.Watch(ctx, 0)
+		is.True(errors.Is(err, context.DeadlineExceeded))
+		is.True(strings.Contains(err.Error(), "status 503")) // why the watch was still waiting
+		is.Equal(time.Since(start), time.Minute)
+	})
+}
+
+// The list must pass through unchanged, and only for the domain asked for.
+func TestVMs(t *testing.T) {
+	is := is.New(t)
+	f, err := stand.StartFleet(t.Context(), stand.FleetConfig{})
+	is.NoErr(err)
+	defer f.Close()
+	c, err := New(Config{URL: f.URL})
+	is.NoErr(err)
+	defer c.config.HTTP.CloseIdleConnections()
+	all, err := c.VMs(t.Context(), "")
+	is.NoErr(err)
+	is.Equal(all, f.Platform.VMs())
+	f.Leave(f.Servers("Yilan")[0].Address())
+	one, err := c.VMs(t.Context(), "Yilan")
+	is.NoErr(err)
+	is.Equal(len(one), 1)
+	is.Equal(one[0].State, wire.VMLeaving)
+}
+
+// A document that the check lets pass has a version above the one asked for.
+func FuzzCheckDocument(f *testing.F) {
+	f.Add([]byte(`{"Version":2,"Preset":"ordinary"}`), uint64(1))
+	f.Add([]byte(`{"Version":-1}`), uint64(0))
+	f.Add([]byte(`{"version":2,"Version":1}`), uint64(1))
+	f.Add([]byte(`null`), uint64(0))
+	f.Fuzz(func(t *testing.T, raw []byte, after uint64) {
+		err := checkDocument(raw, after)
+		if err != nil {
+			if !errors.Is(err, ErrInvalid) {
+				t.Fatalf("error without its class: %v", err)
+			}
+			return
+		}
+		if after == ^uint64(0) {
+			t.Fatal("no version is above the largest")
+		}
+	})
+}
+
+// A list that the decoder lets pass has an address, a role, a domain and a state in each entry.
+func FuzzDecodeVMs(f *testing.F) {
+	f.Add([]byte(`{"Vms":[{"Address":"127.0.0.1:7000","Role":"Entry","FailureDomain":"Yilan","State":"Live"}]}`))
+	f.Add([]byte(`{"Vms":[{"Address":"127.0.0.1:7000","Role":"Entry","FailureDomain":"Yilan"}]}`))
+	f.Add([]byte(`{"Vms":[null]}`))
+	f.Add([]byte(`{}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		vms, err := decodeVMs(raw)
+		if err != nil {
+			if !errors.Is(err, ErrInvalid) {
+				t.Fatalf("error without its class: %v", err)
+			}
+			return
+		}
+		for _, v := range vms {
+			if checkVM(v) != nil {
+				t.Fatalf("invalid entry %+v", v)
+			}
+		}
+	})
+}
--- a/stand/conn.go
+++ b/stand/conn.go
@@ -32,12 +32,12 @@
 	reserved int
 	serving  sync.WaitGroup
 
-	mu     sync.Mutex
-	server *http.Server
-	conns  map[*conn]struct{}
+	mu      sync.Mutex
+	current *listener
+	conns   map[*conn]struct{}
 }
 
-func newEndpoint(_ context.Context, address netip.AddrPort, c ServerConfig) (*endpoint, error) {
+func newEndpoint(address netip.AddrPort, c ServerConfig) (*endpoint, error) {
 	fd, bound, err := reserve(address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "stand: reserve %s", address)
@@ -88,28 +88,19 @@
 			return context.WithValue(ctx, connKey{}, c)
 		},
 	}
+	l := &listener{Listener: ln, endpoint: e, owner: s, server: server}
 	e.mu.Lock()
-	e.server = server
+	e.current = l
 	e.mu.Unlock()
-	e.serving.Go(func() { _ = server.Serve(&listener{Listener: ln, endpoint: e, owner: s}) })
+	e.serving.Go(func() { _ = server.Serve(l) })
 	return nil
 }
 
-// close closes the listener and all connections.
-func (e *endpoint) close() {
+// incumbent returns the listener of the running incarnation.
+func (e *endpoint) incumbent() *listener {
 	e.mu.Lock()
-	server := e.server
-	conns := make([]*conn, 0, len(e.conns))
-	for c := range e.conns {
-		conns = append(conns, c)
-	}
-	e.mu.Unlock()
-	if server != nil {
-		_ = server.Close()
-	}
-	for _, c := range conns {
-		_ = c.Close()
-	}
+	defer e.mu.Unlock()
+	return e.current
 }
 
 // release gives the port back after close.
@@ -118,11 +109,32 @@
 	_ = syscall.Close(e.reserved)
 }
 
-// listener closes connections above the cap.
+// listener is that of one incarnation. It closes connections above the cap.
 type listener struct {
 	net.Listener
 	endpoint *endpoint
 	owner    *Server
+	server   *http.Server
+	// closed is guarded by the lock of the endpoint.
+	closed bool
+}
+
+// stop closes the listener and its connections. A later incarnation is not affected.
+func (l *listener) stop() {
+	e := l.endpoint
+	e.mu.Lock()
+	l.closed = true
+	var conns []*conn
+	for c := range e.conns {
+		if c.listener == l {
+			conns = append(conns, c)
+		}
+	}
+	e.mu.Unlock()
+	_ = l.server.Close()
+	for _, c := range conns {
+		_ = c.Close()
+	}
 }
 
 func (l *listener) Accept() (net.Conn, error) {
@@ -131,8 +143,8 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: raw, endpoint: l.endpoint, unreachable: &l.owner.unreachable}
-		open, ok := l.endpoint.add(c)
+		c := &conn{Conn: raw, listener: l}
+		open, ok := l.add(c)
 		l.owner.connected(open, ok)
 		if ok {
 			return c, nil
@@ -141,10 +153,11 @@
 	}
 }
 
-func (e *endpoint) add(c *conn) (open int, ok bool) {
+func (l *listener) add(c *conn) (open int, ok bool) {
+	e := l.endpoint
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.conns) >= e.cap {
+	if l.closed || len(e.conns) >= e.cap {
 		return len(e.conns), false
 	}
 	e.conns[c] = struct{}{}
@@ -181,10 +194,9 @@
 // error to its peer.
 type conn struct {
 	net.Conn
-	endpoint    *endpoint
-	unreachable *atomic.Bool
-	silent      atomic.Bool
-	started     bool
+	listener *listener
+	silent   atomic.Bool
+	started  bool
 
 	mu       sync.Mutex
 	answered int
@@ -192,7 +204,7 @@
 }
 
 func (c *conn) muted() bool {
-	if c.unreachable.Load() {
+	if c.listener.owner.unreachable.Load() {
 		// Bytes that were lost leave a gap in the stream, so it stays unusable.
 		c.silent.Store(true)
 	}
@@ -204,7 +216,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	if !c.started {
 		c.started = true
-		time.Sleep(c.endpoint.delay)
+		time.Sleep(c.listener.endpoint.delay)
 	}
 	for {
 		n, err := c.Conn.Read(b)
@@ -231,9 +243,10 @@
 }
 
 func (c *conn) Close() error {
-	c.endpoint.mu.Lock()
-	delete(c.endpoint.conns, c)
-	c.endpoint.mu.Unlock()
+	e := c.listener.endpoint
+	e.mu.Lock()
+	delete(e.conns, c)
+	e.mu.Unlock()
 	return c.Conn.Close()
 }
 
--- /dev/null
+++ b/stand/example_test.go
@@ -0,0 +1,23 @@
+package stand_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/arbutusthread/arbutusthread/stand"
+)
+
+func ExampleStartFleet() {
+	f, err := stand.StartFleet(context.Background(), stand.FleetConfig{Layout: stand.Layout{Services: 2, Servers: 3}})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer f.Close()
+	for _, v := range f.Document().Services {
+		fmt.Println(v.Name, len(v.Servers), "servers", len(v.Indexes[0].Shards), "shards")
+	}
+	// Output:
+	// service-0 3 servers 4 shards
+	// service-1 3 servers 4 shards
+}
--- a/stand/fleet.go
+++ b/stand/fleet.go
@@ -68,7 +68,7 @@
 }
 
 func (f *Fleet) start(ctx context.Context, c FleetConfig, d *conf.Document) error {
-	moved, err := f.startServers(ctx, c, d)
+	moved, err := f.startServers(c, d)
 	if err != nil {
 		return err
 	}
@@ -97,7 +97,7 @@
 
 // startServers starts the servers of the document and returns their new addresses by the old
 // ones. Documents may name a server in several services.
-func (f *Fleet) startServers(ctx context.Context, c FleetConfig, d *conf.Document) (map[netip.AddrPort]netip.AddrPort, error) {
+func (f *Fleet) startServers(c FleetConfig, d *conf.Document) (map[netip.AddrPort]netip.AddrPort, error) {
 	moved := map[netip.AddrPort]netip.AddrPort{}
 	for _, v := range d.Services {
 		for _, b := range v.Servers {
@@ -109,7 +109,7 @@
 			if c.KeepAddresses {
 				address = b.Address
 			}
-			if err := s.Listen(ctx, address); err != nil {
+			if err := s.Listen(address); err != nil {
 				return nil, err
 			}
 			moved[b.Address] = s.Address()
--- a/stand/job.go
+++ b/stand/job.go
@@ -104,24 +104,24 @@
 func (s *Server) accept(j *job, now time.Time) (wire.BackendReason, bool) {
 	s.mu.Lock()
 	down := s.life == nil
-	var e *endpoint
+	var l *listener
 	var reason wire.BackendReason
 	var ok bool
 	if !down {
-		e, reason, ok = s.acceptLocked(j, now)
+		l, reason, ok = s.acceptLocked(j, now)
 	}
 	s.mu.Unlock()
 	if down {
 		panic(http.ErrAbortHandler)
 	}
-	if e != nil {
-		e.close()
+	if l != nil {
+		l.stop()
 	}
 	return reason, ok
 }
 
-// acceptLocked is accept without closing the endpoint that it returns after a crash.
-func (s *Server) acceptLocked(j *job, now time.Time) (*endpoint, wire.BackendReason, bool) {
+// acceptLocked is accept without stopping the listener that it returns after a crash.
+func (s *Server) acceptLocked(j *job, now time.Time) (*listener, wire.BackendReason, bool) {
 	l := s.life
 	j.life = l
 	j.fate = s.fate(j, s.faults)
--- a/stand/record.go
+++ b/stand/record.go
@@ -9,7 +9,12 @@
 	"github.com/arbutusthread/arbutusthread/wire"
 )
 
-const defaultRecordLimit = 100_000
+const (
+	defaultRecordLimit = 10_000
+	// ordersPerShard is the ratio of kept orders to kept shard requests. Orders are reconciled one
+	// by one, so they are left out much later.
+	ordersPerShard = 10
+)
 
 // ColdCause is why a cold phase began.
 type ColdCause string
@@ -47,9 +52,10 @@
 	Orders map[string]OrderRecord `json:"Orders"`
 	// Shards are the shard requests that began to run, oldest first.
 	Shards []ShardRecord `json:"Shards"`
-	// Dropped counts the shard requests and orders left out above ServerConfig.RecordLimit.
-	Dropped int          `json:"Dropped"`
-	Cold    []ColdRecord `json:"Cold"`
+	// DroppedShards and DroppedOrders count what was left out above ServerConfig.RecordLimit.
+	DroppedShards int          `json:"DroppedShards"`
+	DroppedOrders int          `json:"DroppedOrders"`
+	Cold          []ColdRecord `json:"Cold"`
 	// Drained is the time of the last Drain, zero without one. AfterDrain counts the requests
 	// received since, while draining; LastAfterDrain is the time of the last of them.
 	Drained        time.Time `json:"Drained"`
@@ -166,7 +172,7 @@
 		return
 	}
 	if len(r.Shards) >= r.limit {
-		r.Dropped++
+		r.DroppedShards++
 		return
 	}
 	q := j.query
@@ -178,8 +184,8 @@
 
 func (r *recorder) runOrder(now time.Time, j *job) {
 	o, known := r.Orders[j.key]
-	if !known && len(r.Orders) >= r.limit {
-		r.Dropped++
+	if !known && len(r.Orders) >= ordersPerShard*r.limit {
+		r.DroppedOrders++
 		return
 	}
 	if !known {
--- a/stand/server.go
+++ b/stand/server.go
@@ -1,7 +1,6 @@
 package stand
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -58,7 +57,8 @@
 	// Hits is the number of hits that a shard has for each query.
 	Hits int
 	Seed uint64
-	// RecordLimit bounds the shard requests and orders kept one by one; 0 means 100,000.
+	// RecordLimit bounds the shard requests that Record keeps one by one; 0 means 10,000. Ten
+	// times as many orders are kept.
 	RecordLimit int
 	Faults      ServerFaults
 }
@@ -162,27 +162,36 @@
 // Close stops the server and waits for its requests, which are cut off.
 func (s *Server) Close() {
 	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return
+	}
 	s.closed = true
 	if s.restart != nil {
 		s.restart.Stop()
 	}
-	e := s.stop(time.Now())
+	l := s.stop(time.Now())
+	e := s.endpoint
 	s.mu.Unlock()
 	if e != nil {
-		e.close()
+		l.stop()
 		e.release()
 	}
 	s.work.Wait()
 }
 
-// stop ends the incarnation. The caller holds the lock and closes the endpoint after giving it up.
-func (s *Server) stop(now time.Time) *endpoint {
+// stop ends the incarnation. The caller holds the lock, and stops the listener, if there is one,
+// after giving it up.
+func (s *Server) stop(now time.Time) *listener {
 	if s.life != nil {
 		s.life.end(now)
 		s.record.endCold(now)
 		s.life = nil
 	}
-	return s.endpoint
+	if s.endpoint == nil {
+		return nil
+	}
+	return s.endpoint.incumbent()
 }
 
 // begin starts an incarnation. The caller holds the lock.
@@ -200,22 +209,22 @@
 // refused until the next incarnation starts, cold, after RestartDelay.
 func (s *Server) Crash() {
 	s.mu.Lock()
-	e := s.crash()
+	l := s.crash()
 	s.mu.Unlock()
-	if e != nil {
-		e.close()
+	if l != nil {
+		l.stop()
 	}
 }
 
-// crash is Crash without closing the endpoint that it returns. The caller holds the lock.
-func (s *Server) crash() *endpoint {
+// crash is Crash without stopping the listener that it returns. The caller holds the lock.
+func (s *Server) crash() *listener {
 	if s.life == nil || s.closed {
 		return nil
 	}
 	s.record.Crashes++
-	e := s.stop(time.Now())
+	l := s.stop(time.Now())
 	s.restart = time.AfterFunc(s.config.RestartDelay, s.restartNow)
-	return e
+	return l
 }
 
 func (s *Server) restartNow() {
@@ -318,8 +327,8 @@
 
 // Listen serves on the address until Close; port 0 takes a free port. A server that restarts
 // listens on the same address again.
-func (s *Server) Listen(ctx context.Context, address netip.AddrPort) error {
-	e, err := newEndpoint(ctx, address, s.config)
+func (s *Server) Listen(address netip.AddrPort) error {
+	e, err := newEndpoint(address, s.config)
 	if err != nil {
 		return err
 	}
