Check the guard over interleavings

Cause: runs of a simulated home found four holes: a server that crashed after the caller had left was blamed on no request or twice, two crashes at one instant counted once, and a request that shared a server with two canaries of a crashing one was put in quarantine.

Change: Fits tells which server a canary may run on; a canary after one without an outcome runs alone; a crash always comes after what the note holds.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -55,7 +55,8 @@
 const (
 	// Proceed means that the request may run on any number of servers.
 	Proceed Action = iota + 1
-	// RunCanary means that the request must first run on one server, and report the end of that.
+	// RunCanary means that the request must first run on one server, for which Fits is true, and
+	// report the end of that.
 	RunCanary
 	// Wait means that the request waits until a report on the canary returns its id.
 	Wait
@@ -66,8 +67,7 @@
 // Decision is the answer to Begin.
 type Decision struct {
 	Action Action
-	// Alone means that no other request may run on the server of the canary, and that Suspected
-	// must be false for the server.
+	// Alone means that no other request may run on the server of the canary.
 	Alone bool
 	// Until is the time at which a refusal ends, zero when it is not known.
 	Until time.Time
@@ -95,6 +95,7 @@
 
 type canary[I comparable] struct {
 	id      I
+	alone   bool
 	waiting []I
 }
 
@@ -143,8 +144,9 @@
 	if count > 0 && crashes+count >= crashLimit {
 		return Decision{Action: Refuse, Until: until, Reason: wire.ReasonOverload}
 	}
-	g.canaries[f] = &canary[I]{id: r.ID}
-	return Decision{Action: RunCanary, Alone: crashes > 0}
+	alone := crashes+count > 0
+	g.canaries[f] = &canary[I]{id: r.ID, alone: alone}
+	return Decision{Action: RunCanary, Alone: alone}
 }
 
 func (g *Guard[I]) wait(c *canary[I], id I) Decision {
--- a/guard/mark.go
+++ b/guard/mark.go
@@ -12,6 +12,7 @@
 	service     string
 	kind        string
 	server      netip.AddrPort
+	alone       bool
 	until       time.Time
 }
 
@@ -22,7 +23,7 @@
 	}
 	g.suspects = append(g.suspects, suspect{
 		fingerprint: r.Fingerprint, service: r.Service, kind: r.Kind, server: server,
-		until: now.Add(g.config.SuspectFor),
+		alone: g.canaries[r.Fingerprint].alone, until: now.Add(g.config.SuspectFor),
 	})
 }
 
@@ -41,10 +42,13 @@
 	return count, until
 }
 
-// Suspected reports whether the server may still run a canary that ended without an outcome.
-func (g *Guard[I]) Suspected(now time.Time, server netip.AddrPort) bool {
-	return slices.ContainsFunc(g.suspects, func(s suspect) bool {
-		return s.server == server && now.Before(s.until)
+// Fits reports whether a canary may run on the server. A crash of a server that may still run an
+// earlier canary could not be blamed on one of them: the same fingerprint would be marked twice,
+// and a marked one could be convicted by a crash that another caused.
+func (g *Guard[I]) Fits(now time.Time, f Fingerprint, alone bool, server netip.AddrPort) bool {
+	return !slices.ContainsFunc(g.suspects, func(s suspect) bool {
+		return s.server == server && now.Before(s.until) &&
+			(alone || s.alone || s.fingerprint == f)
 	})
 }
 
--- a/guard/note.go
+++ b/guard/note.go
@@ -34,26 +34,34 @@
 	Service     string      `json:"Service"`
 	Kind        string      `json:"Kind"`
 	// Crashes are the crashes since the last success, oldest first.
-	Crashes []Crash `json:"Crashes"`
+	Crashes []Crash `json:"Crashes,omitempty"`
 	// Cleared is the time of the last success, which makes older crashes void.
 	Cleared time.Time `json:"Cleared,omitzero"`
 	// Expires is the time from which on the note has no effect.
 	Expires time.Time `json:"Expires"`
 }
 
-// crash includes a crash that was seen now. The clock of a peer whose success is included may be
-// ahead, but the crash came later.
+// latest returns the latest time in the note.
+func (n *Note) latest() time.Time {
+	if last := len(n.Crashes) - 1; last >= 0 {
+		return n.Crashes[last].At
+	}
+	return n.Cleared
+}
+
+// crash includes a crash that was seen now. It comes after all that the note holds, even if the
+// clock of a peer is ahead.
 func (n *Note) crash(now time.Time, server netip.AddrPort) {
-	if !now.After(n.Cleared) {
-		now = n.Cleared.Add(1)
+	if last := n.latest(); !now.After(last) {
+		now = last.Add(1)
 	}
 	n.add([]Crash{{Server: server, At: now}}, time.Time{})
 }
 
-// clear includes a success that was seen now, which came later than all known crashes.
+// clear includes a success that was seen now, which makes all known crashes void.
 func (n *Note) clear(now time.Time) {
-	if last := len(n.Crashes) - 1; last >= 0 && n.Crashes[last].At.After(now) {
-		now = n.Crashes[last].At
+	if last := n.latest(); last.After(now) {
+		now = last
 	}
 	n.add(nil, now)
 }
@@ -80,10 +88,7 @@
 	})
 	all = slices.CompactFunc(all, func(a, b Crash) bool { return a.At.Equal(b.At) && a.Server == b.Server })
 	n.Crashes = all[max(0, len(all)-maxCrashes):]
-	last := n.Cleared
-	if len(n.Crashes) > 0 {
-		last = n.Crashes[len(n.Crashes)-1].At
-	}
+	last := n.latest()
 	if q := n.QuarantinedUntil(); q.After(last) {
 		last = q
 	}
