sched: admit by the expected wait at each shard's replicas

Cause: a trace of the tail case shows that 131,860 of 165,000 blocked admissions met a shard with one replica lowered to ColdSlots for a latency jump, and that the 101.8 ms of queueing of the requests above 60 ms is three times their time in service. The load of a shard counts requests whose canary has not ended, so a short burst was enough to stop the whole queue. Change: a request is admitted when the replicas of each shard are expected to be free within a tenth of its remaining time.

--- a/sched/admit.go
+++ b/sched/admit.go
@@ -9,6 +9,9 @@
 const (
 	// holdQuantile is the share of requests that end within the expected time.
 	holdQuantile = 0.9
+	// waitShare is the share of a request's remaining time that it may wait for permits after its
+	// admission. More of it would take the order by worth away from the queue.
+	waitShare = 0.1
 	// minLoad absorbs rounding errors of sums of shares.
 	minLoad = 1e-6
 )
@@ -126,28 +129,43 @@
 	}
 }
 
-// fits reports whether the expected load of the request fits into the allowances of the replicas
-// of each shard together, so that one slow replica does not hold up all requests. Replicas without
-// committed load always take one request, however small their allowance is.
+// fits reports whether each shard's replicas are expected to be free within waitShare of the
+// request's remaining time. The wait is that of the work above what the replicas run at once, at the
+// rate at which they answer. A slow server lengthens its own shard's wait only, and a canary that
+// holds back the rest of its request does not count as a full server. Replicas without committed
+// load always take one request, however small their allowance is.
 func (s *Slice) fits(now time.Time, j *job) bool {
 	if s.config.AdmitAll {
 		return true
 	}
+	most := time.Duration(waitShare * float64(j.Deadline.Sub(now)))
 	for _, t := range j.tasks {
-		load, room := 0.0, 0.0
-		for _, a := range t.Servers {
-			if v := s.servers[a]; v != nil && v.usable() {
-				load += v.committed
-				room += s.config.Overcommit * float64(v.permits.Allowance())
-			}
-		}
-		if load >= minLoad && load+1 > room {
+		if s.replicaWait(t) > most {
 			return false
 		}
 	}
 	return true
 }
 
+// replicaWait is the time until the replicas of the task have room for one more request.
+func (s *Slice) replicaWait(t *task) time.Duration {
+	load, room, rate := 0.0, 0.0, 0.0
+	for _, a := range t.Servers {
+		v := s.servers[a]
+		if v == nil || !v.usable() {
+			continue
+		}
+		slots := float64(v.permits.Allowance())
+		load += v.committed
+		room += s.config.Overcommit * slots
+		rate += slots / float64(v.average.Value()+time.Microsecond)
+	}
+	if load < minLoad || load+1 <= room || rate == 0 {
+		return 0
+	}
+	return time.Duration((load + 1 - room) / rate)
+}
+
 func (s *Slice) share(now time.Time, t *task) float64 {
 	n := 0
 	for _, a := range t.Servers {
