sched: keep a canary to one server until its outcome is known

The event trace shows that the first reset of a crashing server lowers its allowance, which cancelled the canary there and ran it elsewhere before its own reset was reported, so the crash was never marked. A canary could also be hedged. The second canary ran on the same shard, and its crash took the shard's last replica. Change: a cancelled canary runs again only after its attempt has ended, and a crash that ends it is marked; canaries are not hedged; a canary avoids servers that crashed under the request and takes a shard with the most healthy replicas.

--- a/sched/canary.go
+++ b/sched/canary.go
@@ -25,7 +25,7 @@
 		s.scatter(now, j, out)
 	case guard.RunCanary:
 		j.alone = d.Alone
-		j.canary = s.canaryTask(j)
+		j.canary = s.canaryTask(now, j)
 		s.launch(now, j.canary, Canary, out)
 	case guard.Wait:
 		j.waits = true
@@ -35,15 +35,29 @@
 	}
 }
 
-// canaryTask picks the first task. A task that an earlier canary has already tried stays the
-// canary, so that it avoids the server that crashed.
-func (s *Slice) canaryTask(j *job) *task {
+// canaryTask picks a task at random among those with the most healthy replicas, so that a second
+// crash does not take the last replica of a shard that has lost one already.
+func (s *Slice) canaryTask(now time.Time, j *job) *task {
+	var best []*task
+	most := -1
 	for _, t := range j.tasks {
-		if t.open && t.tries > 0 {
-			return t
+		if !t.open {
+			continue
+		}
+		n := 0
+		for _, a := range t.Servers {
+			if v := s.servers[a]; v != nil && v.usable() && s.preferred(now, t, v) && !v.permits.Cold() {
+				n++
+			}
+		}
+		if n > most {
+			best, most = best[:0], n
+		}
+		if n == most {
+			best = append(best, t)
 		}
 	}
-	return j.tasks[s.rand.IntN(len(j.tasks))]
+	return best[s.rand.IntN(len(best))]
 }
 
 func (s *Slice) quarantined(now time.Time, j *job, d guard.Decision, out *Actions) {
@@ -99,7 +113,9 @@
 		return false
 	}
 	j.canary = nil
-	t.tried = append(t.tried, a.server)
+	for _, o := range j.tasks {
+		o.tried = append(o.tried, a.server)
+	}
 	if j.Idempotent {
 		s.begin(now, j, out)
 	}
--- a/sched/done.go
+++ b/sched/done.go
@@ -40,11 +40,24 @@
 	case !t.open || t.job.ended:
 	case r.Class == OK:
 		s.accept(now, t, out)
+	case t == t.job.canary && a.cancelled:
+		s.endMoved(now, a, r, out)
 	case !a.cancelled && r.Class != Cancelled:
 		s.fail(now, a, r, out)
 	}
 }
 
+// endMoved runs a canary again whose attempt was cancelled to take load off a cold server, unless
+// the server crashed under it first.
+func (s *Slice) endMoved(now time.Time, a *attempt, r Result, out *Actions) {
+	if r.Class == Crashed && s.crashed(now, a, out) {
+		return
+	}
+	if a.task.inFlight() == 0 {
+		s.retry(now, a.task, wire.ReasonBackend, true, out)
+	}
+}
+
 // observe updates what is known of the server.
 func (s *Slice) observe(now time.Time, a *attempt, r Result, out *Actions) {
 	v, latency := a.server, now.Sub(a.sent)
--- a/sched/hedge.go
+++ b/sched/hedge.go
@@ -11,7 +11,7 @@
 const hedgeRecheck = 2 * time.Millisecond
 
 func (s *Slice) armHedge(now time.Time, t *task) {
-	if !t.job.Idempotent || t.hedged || len(t.Servers) < 2 || s.isAlone(t) {
+	if !t.job.Idempotent || t.hedged || len(t.Servers) < 2 || t == t.job.canary {
 		return
 	}
 	if due := s.hedgeDue(now, t); !due.IsZero() {
@@ -30,14 +30,10 @@
 	})
 }
 
-func (s *Slice) isAlone(t *task) bool {
-	return t.job.alone && t == t.job.canary
-}
-
 // hedge sends a second attempt when it is due, the budget allows it and a warm replica has a free
-// permit.
+// permit. A canary must run nowhere else until it has succeeded.
 func (s *Slice) hedge(now time.Time, t *task, out *Actions) {
-	if !t.open || t.job.ended || t.hedged || t.inFlight() != 1 {
+	if !t.open || t.job.ended || t.hedged || t == t.job.canary || t.inFlight() != 1 {
 		return
 	}
 	due := s.hedgeDue(now, t)
--- a/sched/server.go
+++ b/sched/server.go
@@ -150,7 +150,8 @@
 		}
 		excess--
 		s.cancel(a, out)
-		if a.task.open && a.task.inFlight() == 0 {
+		// A canary waits for the end of its attempt, which may be a crash to be marked.
+		if a.task.open && a.task.inFlight() == 0 && a.task.job.canary != a.task {
 			s.retry(now, a.task, wire.ReasonBackend, true, out)
 		}
 	}
