--- a/conf/decode.go
+++ b/conf/decode.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -47,16 +46,17 @@
 	if !json.Valid(b) {
 		return nil, syntaxFault(b)
 	}
-	var f Faults
-	d := json.NewDecoder(bytes.NewReader(b))
-	if err := inspect(d, &f, "", reflect.TypeFor[T]()); err != nil {
-		return nil, errors.Wrap(err, "conf: inspect fields")
-	}
-	if len(f) > 0 {
-		return nil, f
-	}
+	t := reflect.TypeFor[T]()
+	faults := scan(b, t, false)
 	v := new(T)
-	if err := json.Unmarshal(b, v); err != nil {
+	err := json.Unmarshal(b, v)
+	if err != nil {
+		faults = scan(b, t, true)
+	}
+	switch {
+	case len(faults) > 0:
+		return nil, faults
+	case err != nil:
 		return nil, errors.Wrap(err, "conf: decode")
 	}
 	return v, nil
@@ -80,132 +80,23 @@
 var (
 	jsonUnmarshaler = reflect.TypeFor[json.Unmarshaler]()
 	textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
+	rawMessage      = reflect.TypeFor[json.RawMessage]()
 )
 
-// inspect walks the next JSON value alongside the type that it is decoded into and reports each
-// fault with its path. The standard decoder alone stops at the first fault, gives no positions in
-// lists, and accepts duplicate names, of which the last wins, and names in another case.
-func inspect(d *json.Decoder, f *Faults, path string, t reflect.Type) error {
-	switch {
-	case reflect.PointerTo(t).Implements(jsonUnmarshaler), reflect.PointerTo(t).Implements(textUnmarshaler):
-		return inspectValue(d, f, path, t)
-	case t.Kind() == reflect.Struct, t.Kind() == reflect.Map:
-		return inspectObject(d, f, path, t)
-	case t.Kind() == reflect.Slice:
-		return inspectArray(d, f, path, t)
-	default:
-		return inspectValue(d, f, path, t)
-	}
-}
-
-func inspectObject(d *json.Decoder, f *Faults, path string, t reflect.Type) error {
-	open, err := d.Token()
-	if err != nil {
-		return err
-	}
-	if open != json.Delim('{') {
-		if open != nil || t.Kind() != reflect.Map {
-			f.add(path, "must be a JSON object")
-		}
-		return skipRest(d, open)
-	}
-	seen := map[string]bool{}
-	for d.More() {
-		token, err := d.Token()
-		if err != nil {
-			return err
-		}
-		name, _ := token.(string)
-		p := field(path, name)
-		if seen[name] {
-			f.add(p, "occurs more than once")
-		}
-		seen[name] = true
-		next, ok := memberType(t, name)
-		if !ok {
-			f.add(p, "unknown field")
-			next = reflect.TypeFor[json.RawMessage]()
-		}
-		if err := inspect(d, f, p, next); err != nil {
-			return err
-		}
-	}
-	_, err = d.Token()
-	return err
-}
-
-func inspectArray(d *json.Decoder, f *Faults, path string, t reflect.Type) error {
-	open, err := d.Token()
-	if err != nil {
-		return err
-	}
-	if open != json.Delim('[') {
-		// Go writes an empty list as null.
-		if open != nil {
-			f.add(path, "must be a JSON array")
-		}
-		return skipRest(d, open)
-	}
-	for i := 0; d.More(); i++ {
-		if err := inspect(d, f, element(path, i), t.Elem()); err != nil {
-			return err
-		}
-	}
-	_, err = d.Token()
-	return err
-}
-
-func inspectValue(d *json.Decoder, f *Faults, path string, t reflect.Type) error {
-	var raw json.RawMessage
-	if err := d.Decode(&raw); err != nil {
-		return err
-	}
+// decodeFault decodes one value of a larger text into a value of its type.
+func decodeFault(p *place, raw []byte, t reflect.Type) Faults {
+	var f Faults
 	err := json.Unmarshal(raw, reflect.New(t).Interface())
 	var mismatch *json.UnmarshalTypeError
 	switch {
+	case errors.As(err, &mismatch) && t.Kind() == reflect.Slice && !isOpaque(t):
+		f.add(p.String(), "must be a JSON array")
+	case errors.As(err, &mismatch) && t.Kind() == reflect.Map && !isOpaque(t):
+		f.add(p.String(), "must be a JSON object")
 	case errors.As(err, &mismatch):
-		f.add(path, "must not be a JSON %s", mismatch.Value)
+		f.add(p.String(), "must not be a JSON %s", mismatch.Value)
 	case err != nil:
-		f.add(path, "%v", err)
-	}
-	return nil
-}
-
-// skipRest reads to the end of a value of which the first token has been read.
-func skipRest(d *json.Decoder, open json.Token) error {
-	for depth := delimDepth(open); depth > 0; {
-		token, err := d.Token()
-		if err != nil {
-			return err
-		}
-		depth += delimDepth(token)
+		f.add(p.String(), "%v", err)
 	}
-	return nil
-}
-
-// delimDepth returns by how much a token changes the depth of nesting.
-func delimDepth(token json.Token) int {
-	switch token {
-	case json.Delim('{'), json.Delim('['):
-		return 1
-	case json.Delim('}'), json.Delim(']'):
-		return -1
-	default:
-		return 0
-	}
-}
-
-// memberType returns the type of a struct field by its JSON name, or of any value of a map.
-func memberType(t reflect.Type, name string) (reflect.Type, bool) {
-	if t.Kind() == reflect.Map {
-		return t.Elem(), true
-	}
-	for i := range t.NumField() {
-		x := t.Field(i)
-		tag, _, _ := strings.Cut(x.Tag.Get("json"), ",")
-		if tag == name && tag != "-" {
-			return x.Type, true
-		}
-	}
-	return nil, false
+	return f
 }
--- a/conf/fault.go
+++ b/conf/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 )
 
@@ -101,5 +102,5 @@
 
 // element joins a path and the position in a list.
 func element(path string, i int) string {
-	return fmt.Sprintf("%s[%d]", path, i)
+	return path + "[" + strconv.Itoa(i) + "]"
 }
--- a/conf/fuzz_test.go
+++ b/conf/fuzz_test.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"bytes"
 	"encoding/json"
 	"os"
 	"path/filepath"
@@ -24,6 +25,11 @@
 		if err != nil {
 			return
 		}
+		strict := json.NewDecoder(bytes.NewReader(b))
+		strict.DisallowUnknownFields()
+		if err := strict.Decode(new(Document)); err != nil {
+			t.Fatalf("accepted what the strict decoder refuses: %v", err)
+		}
 		_ = d.Check().Error()
 		again, err := ParseDocument(mustMarshal(t, d))
 		if err != nil {
