--- a/fleet/config.go
+++ b/fleet/config.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// hashLength is the number of characters of a document's hash that messages carry.
-	hashLength = 16
+	// hashLength is the number of characters of a document's hash that messages carry. It only has
+	// to tell documents of the same version apart.
+	hashLength = 8
 	// pullEvery is the least time between two requests to pull the same version.
 	pullEvery = time.Second
 	// conflictEvery is the least time between two reports of a conflict.
--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -127,7 +127,7 @@
 
 // compareDigest asks for the member's table when the views have differed for a while. A joining
 // node asks at once.
-func (n *Node) compareDigest(from netip.AddrPort, e *edge, digest uint64) {
+func (n *Node) compareDigest(from netip.AddrPort, e *edge, digest uint32) {
 	if digest == n.digest() {
 		n.joined = true
 		if e != nil {
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -62,6 +62,8 @@
 	mark uint64
 	// lost is the index among the lost members, or -1.
 	lost int
+	// logged is the number after that of the last item in the log about the member; 0 without one.
+	logged uint64
 	// downSince is when the member became Down here.
 	downSince time.Time
 	// left is set when the member announced that it leaves before it went Down.
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -41,6 +41,9 @@
 	}
 	r, before, news := n.table.apply(n.now, u.Member)
 	if !news {
+		if r.Incarnation == u.Incarnation && r.Sequence == u.Sequence && r.State == u.State {
+			n.heard(r, from)
+		}
 		return false
 	}
 	n.contacts = slices.DeleteFunc(n.contacts, func(a netip.AddrPort) bool { return a == u.Address })
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -33,7 +33,7 @@
 	Version uint64 `json:"Version,omitempty"`
 	Hash    string `json:"Hash,omitempty"`
 	// Digest covers the members that are not Down, and the notes. It is set in Heartbeat and Ack.
-	Digest  uint64      `json:"Digest,omitempty"`
+	Digest  uint32      `json:"Digest,omitempty"`
 	Leases  []LeaseItem `json:"Leases,omitempty"`
 	Updates []Update    `json:"Updates,omitempty"`
 	Notes   []Note      `json:"Notes,omitempty"`
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -226,8 +226,9 @@
 	return &Message{Kind: k, Incarnation: n.self.Incarnation, Version: n.version, Hash: n.hash}
 }
 
-// digest covers the members that are up, and the notes.
-func (n *Node) digest() uint64 { return n.table.digest ^ n.noteDigest }
+// digest covers the members that are up, and the notes. Messages carry half of the bits, since a
+// chance match lasts only until the next change.
+func (n *Node) digest() uint32 { return uint32(n.table.digest ^ n.noteDigest) }
 
 // refreshEdges finds the members that this node watches and those that watch it.
 func (n *Node) refreshEdges() {
--- a/fleet/spread.go
+++ b/fleet/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -19,8 +20,9 @@
 type logItem struct {
 	update *Update
 	note   *Note
-	from   netip.AddrPort
-	size   int
+	// from lists the members that have sent the item, so that it is not sent back to them.
+	from []netip.AddrPort
+	size int
 }
 
 // spreadLog holds the recent items in the order in which they came. Each edge has its own place in
@@ -63,11 +65,26 @@
 
 // flood adds an item to the log. The member that it came from is not sent it.
 func (n *Node) floodUpdate(u Update, from netip.AddrPort) {
-	n.log.add(logItem{update: &u, from: from, size: jsonSize(u)})
+	if u.State == StateDown {
+		// Who knows the member has the other fields, and who does not needs no news of its end.
+		u.Caller, u.FailureDomain, u.Region, u.Weight = netip.AddrPort{}, "", "", 0
+	}
+	n.log.add(logItem{update: &u, from: []netip.AddrPort{from}, size: jsonSize(u)})
+	if r := n.table.records[u.Address]; r != nil && u.State != StateSuspect {
+		r.logged = n.log.end()
+	}
+}
+
+// heard notes that a member has sent news that this node has in its log already.
+func (n *Node) heard(r *record, from netip.AddrPort) {
+	if r.logged > n.log.base {
+		it := &n.log.items[r.logged-1-n.log.base]
+		it.from = append(it.from, from)
+	}
 }
 
 func (n *Node) floodNote(note Note, from netip.AddrPort) {
-	n.log.add(logItem{note: &note, from: from, size: jsonSize(note)})
+	n.log.add(logItem{note: &note, from: []netip.AddrPort{from}, size: jsonSize(note)})
 }
 
 // isPending reports whether the edge has items to be sent.
@@ -75,7 +92,7 @@
 	e.next = max(e.next, n.log.base)
 	for e.next < n.log.end() {
 		it := n.log.items[e.next-n.log.base]
-		if it.from != e.record.Address && !n.isStale(it) {
+		if !slices.Contains(it.from, e.record.Address) && !n.isStale(it) {
 			return true
 		}
 		e.next++
