Ask for health and load, and save allocations in back

Cause: a leaving or cold server is also seen in health and load; the check of a connection before an order took TLS session tickets for an unexpected answer.

Change: Client.Health and Client.Load; space for hits is made ahead; a connection that was just opened is not checked.

--- a/back/classify.go
+++ b/back/classify.go
@@ -1,7 +1,6 @@
 package back
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -147,14 +146,10 @@
 		return h, errors.Wrapf(err, "back: health of %s", host)
 	}
 	s := newScratch()
-	q := &s.request
-	q.Method, q.Body, q.Host, q.Header = http.MethodGet, nil, host, http.Header{}
-	s.url.Path = "/health"
-	var out bytes.Buffer
-	if err := q.Write(&out); err != nil {
+	if err := s.encode(request{path: "/health"}, host, time.Now().Add(timeout), 0); err != nil {
 		return h, errors.Wrapf(err, "back: health of %s", host)
 	}
-	if _, err := c.stream.Write(out.Bytes()); err != nil {
+	if _, err := c.stream.Write(s.out.Bytes()); err != nil {
 		return h, errors.Wrapf(err, "back: health of %s", host)
 	}
 	status, reusable, err := c.read(s, maxHead)
--- a/back/client.go
+++ b/back/client.go
@@ -28,6 +28,8 @@
 	// defaultMaxRequest and defaultMaxAnswer are bytes of body.
 	defaultMaxRequest = 1 << 20
 	defaultMaxAnswer  = 4 << 20
+	// maxHits bounds the hits for which space is made ahead.
+	maxHits = 100
 )
 
 // Config holds the limits of a client. A zero field takes its default.
@@ -173,12 +175,9 @@
 ) (wire.ShardAnswer, Result) {
 	s := k.scratch.Get().(*scratch)
 	defer k.keep(s)
-	var a wire.ShardAnswer
+	a := wire.ShardAnswer{Hits: make([]wire.Hit, 0, max(0, min(q.TopK, maxHits)))}
 	r := k.send(ctx, server, deadline, request{path: "/shard", id: q.RequestID, body: &q}, s)
-	if r.Class != OK {
-		return a, r
-	}
-	if !decode(s.in.Bytes(), &a, &r) {
+	if r.Class != OK || !decode(s.in.Bytes(), &a, &r) {
 		return wire.ShardAnswer{}, r
 	}
 	matchQuery(&a, &q, &r)
@@ -200,10 +199,7 @@
 	var a wire.BackendOrderAnswer
 	r := k.send(ctx, server, deadline,
 		request{path: "/order", id: o.Key, body: &o, order: true}, s)
-	if r.Class != OK {
-		return a, r
-	}
-	if !decode(s.in.Bytes(), &a, &r) {
+	if r.Class != OK || !decode(s.in.Bytes(), &a, &r) {
 		return wire.BackendOrderAnswer{}, r
 	}
 	switch {
@@ -220,6 +216,36 @@
 	return a, r
 }
 
+// Health asks a server for its health. The state may lag or mislead, so it is a reason to send
+// less to a server, never more.
+func (k *Client) Health(
+	ctx context.Context, server netip.AddrPort, deadline time.Time,
+) (wire.Health, Result) {
+	return k.state(ctx, server, deadline, "/health")
+}
+
+// Load asks a server for its load, with the limits of Health.
+func (k *Client) Load(
+	ctx context.Context, server netip.AddrPort, deadline time.Time,
+) (wire.Health, Result) {
+	return k.state(ctx, server, deadline, "/load")
+}
+
+func (k *Client) state(
+	ctx context.Context, server netip.AddrPort, deadline time.Time, path string,
+) (wire.Health, Result) {
+	s := k.scratch.Get().(*scratch)
+	defer k.keep(s)
+	var h wire.Health
+	r := k.send(ctx, server, deadline, request{path: path}, s)
+	if r.Class != OK || !decode(s.in.Bytes(), &h, &r) {
+		return wire.Health{}, r
+	}
+	r.Incarnation = h.Incarnation
+	r.Warm, r.Draining = h.State != wire.ServerCold, h.State == wire.ServerDraining
+	return h, r
+}
+
 func matchQuery(a *wire.ShardAnswer, q *wire.ShardQuery, r *Result) {
 	switch {
 	case !a.Complete:
--- a/back/client_test.go
+++ b/back/client_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
@@ -167,23 +169,43 @@
 	}
 }
 
-// TestCancelReachesServer guards against a hedge loser that keeps its server busy.
+// TestCancelReachesServer guards against a hedge loser that keeps its server busy, here with TLS
+// and the server of net/http.
 func TestCancelReachesServer(t *testing.T) {
 	is := is.New(t)
 	started, ended := make(chan bool), make(chan bool)
-	a := listen(t, requests(func(_ int, _ *http.Request, c net.Conn) bool {
-		started <- true
-		_, _ = c.Read(make([]byte, 1))
-		ended <- true
-		return false
+	v := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		switch q.URL.Path {
+		case "/order":
+			key := bodyOf[wire.BackendOrder](q).Key
+			_ = json.NewEncoder(w).Encode(wire.BackendOrderAnswer{Key: key, Complete: true})
+		case "/load":
+			_ = json.NewEncoder(w).Encode(wire.Health{State: wire.ServerDraining})
+		default:
+			_, _ = io.Copy(io.Discard, q.Body)
+			started <- true
+			<-q.Context().Done()
+			ended <- true
+		}
 	}))
-	k := testClient(t, 1, a)
+	defer v.Close()
+	a := v.Listener.Addr().(*net.TCPAddr).AddrPort()
+	k := NewClient(Config{TLS: v.Client().Transport.(*http.Transport).TLSClientConfig})
+	defer k.Close()
+	k.SetServers(servers(1, a))
+	deadline := time.Now().Add(10 * time.Second)
+	for range 3 {
+		_, r := k.Order(t.Context(), a, deadline, wire.BackendOrder{Key: "k", Body: json.RawMessage(`1`)})
+		is.Equal(r.Class, OK) // r.Message
+	}
+	_, r := k.Load(t.Context(), a, deadline)
+	is.True(r.Draining && !r.Fresh)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
 		<-started
 		cancel()
 	}()
-	_, r := k.Query(ctx, a, time.Now().Add(10*time.Second), testQuery)
+	_, r = k.Query(ctx, a, deadline, testQuery)
 	is.Equal(r.Class, Canceled)
 	<-ended
 }
--- a/back/conn.go
+++ b/back/conn.go
@@ -83,11 +83,13 @@
 	return c
 }
 
-// ready sets the deadline of an idle connection and reports whether it can be used again.
+// ready sets the deadline of a connection and reports whether it can be used. One that was just
+// opened needs no check, which TLS session tickets would fail.
 func (c *conn) ready(deadline time.Time, check bool) bool {
 	if c.raw.SetDeadline(deadline) != nil {
 		return false
 	}
+	check = check && c.served > 0
 	return (!check && time.Since(c.used) < checkAfter) || c.alive()
 }
 
--- a/back/exchange.go
+++ b/back/exchange.go
@@ -18,7 +18,7 @@
 // maxKept is the largest buffer in bytes that is kept for the next request.
 const maxKept = 256 << 10
 
-// request is one request to a server.
+// request is one request to a server. A nil body makes it a GET.
 type request struct {
 	path  string
 	id    string
@@ -33,6 +33,8 @@
 	in      bytes.Buffer
 	encoder *json.Encoder
 	reader  bytes.Reader
+	limited io.LimitedReader
+	content io.ReadCloser
 	url     url.URL
 	request http.Request
 	id      [1]string
@@ -44,16 +46,15 @@
 	s := &scratch{}
 	s.encoder = json.NewEncoder(&s.body)
 	s.encoder.SetEscapeHTML(false)
+	s.content = io.NopCloser(&s.reader)
 	s.request = http.Request{
-		Method: http.MethodPost,
-		URL:    &s.url,
+		URL: &s.url,
 		Header: http.Header{
 			"Content-Type":       {"application/json"},
 			"User-Agent":         {""},
 			wire.HeaderRequestID: s.id[:],
 			wire.HeaderDeadline:  s.until[:],
 		},
-		Body: io.NopCloser(&s.reader),
 	}
 	return s
 }
@@ -69,8 +70,12 @@
 func (s *scratch) encode(q request, host string, deadline time.Time, limit int) error {
 	s.body.Reset()
 	s.out.Reset()
-	if err := s.encoder.Encode(q.body); err != nil {
-		return errors.Wrap(err, "back: encode request")
+	s.request.Method, s.request.Body = http.MethodGet, nil
+	if q.body != nil {
+		if err := s.encoder.Encode(q.body); err != nil {
+			return errors.Wrap(err, "back: encode request")
+		}
+		s.request.Method, s.request.Body = http.MethodPost, s.content
 	}
 	if s.body.Len() > limit {
 		return errors.Newf("back: the request body of %d bytes is above %d", s.body.Len(), limit)
@@ -184,7 +189,8 @@
 	if v.ContentLength > 0 {
 		s.in.Grow(int(v.ContentLength) + bytes.MinRead)
 	}
-	if _, err := s.in.ReadFrom(io.LimitReader(v.Body, int64(limit)+1)); err != nil {
+	s.limited = io.LimitedReader{R: v.Body, N: int64(limit) + 1}
+	if _, err := s.in.ReadFrom(&s.limited); err != nil {
 		return 0, false, &readError{err: err, body: true}
 	}
 	if s.in.Len() > limit {
