--- a/serve/node_test.go
+++ b/serve/node_test.go
@@ -22,18 +22,24 @@
 // testFleet is a platform, backend servers and nodes on loopback.
 type testFleet struct {
 	*stand.Fleet
-	t     *testing.T
-	nodes []*Node
-	ends  []context.CancelFunc
+	t      *testing.T
+	change func(*conf.Settings)
+	nodes  []*Node
+	ends   []context.CancelFunc
 }
 
 func startFleet(t *testing.T, layout stand.Layout, domains ...string) *testFleet {
+	t.Helper()
+	return startFleetWith(t, layout, func(*conf.Settings) {}, domains...)
+}
+
+func startFleetWith(t *testing.T, layout stand.Layout, change func(*conf.Settings), domains ...string) *testFleet {
 	t.Helper()
 	f, err := stand.StartFleet(t.Context(), stand.FleetConfig{
 		Layout: layout, Server: stand.ServerConfig{StartWarm: true}, Seed: 1,
 	})
 	is.New(t).NoErr(err)
-	v := &testFleet{Fleet: f, t: t}
+	v := &testFleet{Fleet: f, t: t, change: change}
 	t.Cleanup(v.close)
 	for i, d := range domains {
 		v.start(fmt.Sprintf("node-%d", i), d)
@@ -55,6 +61,7 @@
 			Decisions: 1000,
 		},
 	}
+	f.change(s)
 	level := slog.LevelWarn
 	n, err := New(Config{Settings: s, Log: slog.New(slog.NewTextHandler(f.t.Output(), &slog.HandlerOptions{Level: level}))})
 	is.New(f.t).NoErr(err)
