--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -42,7 +42,10 @@
 	ctx, cancel := context.WithCancel(b.Context())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
-	b.Cleanup(func() { cancel(); <-done })
+	b.Cleanup(func() {
+		cancel()
+		is.NoErr(<-done)
+	})
 	q.Deadline = time.Now().Add(time.Hour)
 	b.ReportAllocs()
 	before := cpuTime()
--- a/serve/node_test.go
+++ b/serve/node_test.go
@@ -84,7 +84,7 @@
 	for _, end := range f.ends {
 		end()
 	}
-	f.Fleet.Close()
+	f.Close()
 }
 
 // until waits for a condition that must come true within the bound of 10 s.
