Close an order key only on a refusal by its issuer

Cause: a node refuses a request that arrives after its deadline as not run, and the relay marks that refusal as forwarded. After a resend the client took it for a closed key, although the first attempt could be running, and would have placed the order again. Orders also gave up after three keys, within milliseconds, while a slice has no home for about 3 s after the loss of a node. Change: a refusal closes a key only at a step behind the key table. Orders are tried with growing pauses until their timeout, and not sent with less than 20 ms left.

--- a/call/client.go
+++ b/call/client.go
@@ -55,8 +55,8 @@
 	// Silence is how long a connection may leave sent data unacknowledged, or keepalive probes
 	// unanswered, before it is closed.
 	Silence time.Duration
-	// Attempts is the most times that a query is sent, that an order is sent with a key that
-	// no node forwarded, and that a new key is taken for an order.
+	// Attempts is the most times that a query is sent, and that an order is sent with a key
+	// that no node forwarded before a new key is taken.
 	Attempts int
 	// KeyBatch is the number of order keys that are fetched at once, ahead of use.
 	KeyBatch int
@@ -181,12 +181,24 @@
 	c.avoid[a] = now.Add(avoidFor)
 }
 
-// pause waits before retry n with jitter, and at least for the time that a node asked for. It
-// returns false if the wait would outlast the context.
+// pause waits before retry n of a request that is quick to repeat. It returns false if the wait
+// would outlast the context.
 func (c *Client) pause(ctx context.Context, n int, least time.Duration) bool {
 	c.mu.Lock()
-	d := least + route.Backoff(c.random, n)
+	d := route.Backoff(c.random, n)
 	c.mu.Unlock()
+	return sleep(ctx, least+d)
+}
+
+// wait is pause with another bound for the jitter.
+func (c *Client) wait(ctx context.Context, least, bound time.Duration) bool {
+	c.mu.Lock()
+	d := time.Duration(c.random.Int64N(int64(bound) + 1))
+	c.mu.Unlock()
+	return sleep(ctx, least+d)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
 	if end, ok := ctx.Deadline(); ok && time.Until(end) <= d {
 		return false
 	}
--- a/call/order.go
+++ b/call/order.go
@@ -41,6 +41,16 @@
 	return r.Failure
 }
 
+const (
+	// shortestOrder is the least time for which an order is sent. With less, the refusal of a
+	// late request is the likely reply and tells nothing.
+	shortestOrder = 20 * time.Millisecond
+	// firstOrderPause and longestOrderPause bound the wait before an order is sent again. After
+	// the loss of a node a slice may have no home for about 3 s.
+	firstOrderPause   = 10 * time.Millisecond
+	longestOrderPause = 500 * time.Millisecond
+)
+
 // fate is what one attempt tells of its order key.
 type fate int
 
@@ -56,7 +66,8 @@
 )
 
 // Order runs an order at most once. It sends the same key again after a broken connection or an
-// unknown outcome, and takes a new key only if the old one never runs.
+// unknown outcome, and takes a new key only if the old one never runs. It goes on until the order
+// has run, the timeout ends, or a refusal is such that no other attempt can help.
 func (c *Client) Order(ctx context.Context, service string, o Order) OrderResult {
 	limit := c.timeout(wire.Duration(o.Timeout))
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -74,12 +85,22 @@
 		if !f.Forwarded {
 			c.dropBatch(service, k.batch)
 		}
-		if n == c.config.Attempts || isPermanent(f.Reason) || !c.pause(ctx, n, f.RetryIn.Std()) {
+		if isPermanent(f.Reason) || !c.pauseOrder(ctx, n, f.RetryIn.Std()) {
 			return r
 		}
 	}
 }
 
+// pauseOrder waits before an order is sent again. It returns false if too little time is left.
+func (c *Client) pauseOrder(ctx context.Context, n int, least time.Duration) bool {
+	bound := min(longestOrderPause, firstOrderPause<<min(n-1, 10))
+	if !c.wait(ctx, least, bound) {
+		return false
+	}
+	end, ok := ctx.Deadline()
+	return !ok || time.Until(end) >= shortestOrder
+}
+
 // Resend sends an order again with the key of an unknown outcome. The order runs if it has not
 // run yet, and at most once. The body must be the same.
 func (c *Client) Resend(ctx context.Context, service string, key wire.OrderKey, o Order) OrderResult {
@@ -110,7 +131,7 @@
 		if !open && n >= c.config.Attempts {
 			break
 		}
-		if isFinal(failure.Reason) || !time.Now().Before(key.Expires) || !c.pause(ctx, n, failure.RetryIn.Std()) {
+		if isFinal(failure.Reason) || !time.Now().Before(key.Expires) || !c.pauseOrder(ctx, n, failure.RetryIn.Std()) {
 			break
 		}
 	}
@@ -164,19 +185,31 @@
 		return fateUnsent
 	}
 	f := r.failure
-	// A node that did not ask the issuer cannot know that an earlier attempt has not run, even
-	// if it refuses this one as not run.
 	notRun := f.Outcome == wire.Refused && f.NotRun
 	switch {
-	case notRun && (f.Forwarded || f.Reason == wire.ReasonKeyClosed):
+	case notRun && isByIssuer(f):
 		return fateClosed
-	case !f.Forwarded && (notRun || f.Outcome == wire.Unknown):
+	case notRun, !f.Forwarded && f.Outcome == wire.Unknown:
 		return fateUnsent
 	default:
 		return fateOpen
 	}
 }
 
+// isByIssuer reports whether the issuer refused the order by the state of its key. A refusal on
+// the way to the issuer, or one that arrives there too late, is true of one attempt only: an
+// earlier attempt with the same key may be running.
+func isByIssuer(f *wire.Failure) bool {
+	switch f.Step {
+	case wire.StepDispatch, wire.StepLease, wire.StepAdmit, wire.StepCanary, wire.StepScatter, wire.StepBackend:
+		return true
+	case wire.StepOrderKey:
+		return f.Forwarded || f.Reason == wire.ReasonKeyClosed
+	default:
+		return false
+	}
+}
+
 // isFinal reports whether sending the same key again cannot tell more.
 func isFinal(r wire.Reason) bool {
 	return isPermanent(r) || r == wire.ReasonKeyExpired || r == wire.ReasonKeyForeign
