--- /dev/null
+++ b/peer/datagram_test.go
@@ -0,0 +1,143 @@
+package peer
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/matryer/is"
+)
+
+var (
+	alice = netip.MustParseAddrPort("127.0.0.1:7001")
+	bob   = netip.MustParseAddrPort("127.0.0.1:7002")
+)
+
+// Each kind of bad datagram must be refused and counted by its reason, and must not reach the
+// state machine.
+func TestBadDatagramsAreCounted(t *testing.T) {
+	is := is.New(t)
+	m := start(t, "a", func(c *Config) { c.Limits.SourceRate = 20 })
+	to := m.Self().Address
+	socket, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(to))
+	is.NoErr(err)
+	defer socket.Close()
+	from := socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	good, err := sealDatagram(testKey, from, to, &fleet.Message{Kind: fleet.KindAck, Incarnation: 1})
+	is.NoErr(err)
+	foreign, err := sealDatagram([]byte("another key of 16 bytes"), from, to, &fleet.Message{Kind: fleet.KindAck})
+	is.NoErr(err)
+	redirected, err := sealDatagram(testKey, from, bob, &fleet.Message{Kind: fleet.KindAck})
+	is.NoErr(err)
+	unknown, err := sealDatagram(testKey, from, to, &fleet.Message{Kind: "Other"})
+	is.NoErr(err)
+	other := bytes.Clone(good)
+	other[0]++
+	for _, b := range [][]byte{
+		good, foreign, redirected, unknown, other,
+		good[:len(good)-1], good[:headerSize],
+		{},
+		append(bytes.Clone(good), make([]byte, maxDatagram)...),
+	} {
+		_, err := socket.Write(b)
+		is.NoErr(err)
+	}
+	counted := func() Counters {
+		c := m.Counters()
+		c.Sent, c.SentBytes = 0, 0
+		return c
+	}
+	want := Counters{Received: 1, WrongKey: 3, Undecodable: 1, WrongProtocol: 1, WrongSize: 3}
+	eventually(t, "all counted", func() bool { return counted() == want })
+	for range 100 {
+		_, err := socket.Write(foreign)
+		is.NoErr(err)
+	}
+	eventually(t, "rate limited", func() bool { return counted().RateLimited > 0 })
+}
+
+// Nodes whose first keys differ must understand each other while both accept both keys, as they do
+// while operators change the key.
+func TestKeyRotation(t *testing.T) {
+	is := is.New(t)
+	second := []byte("the second key of the fleet")
+	old := start(t, "a", func(c *Config) { c.Keys = [][]byte{testKey, second} })
+	fresh := start(t, "b", func(c *Config) { c.Keys = [][]byte{second, testKey} })
+	is.NoErr(old.install(document(3)))
+	members := []*member{old, fresh}
+	for _, m := range members {
+		m.SetVMs(listed(members))
+	}
+	eventually(t, "document passed on", func() bool { return fresh.Ready() && old.Ready() })
+}
+
+// A planned stop must be announced, and a note must reach the other node with its body.
+func TestNotesAndLeaving(t *testing.T) {
+	is := is.New(t)
+	events := make(chan fleet.Event, 1000)
+	a := start(t, "a", nil)
+	b := start(t, "b", func(c *Config) { c.Event = func(e fleet.Event) { events <- e } })
+	members := []*member{a, b}
+	for _, m := range members {
+		m.SetVMs(listed(members))
+	}
+	eventually(t, "both known", func() bool { return len(a.Members()) == 2 && len(b.Members()) == 2 })
+	note := fleet.Note{ID: "n", Kind: "mark", Body: json.RawMessage(`{"Fingerprint":"f"}`), Expires: time.Now().Add(time.Hour).UTC()}
+	is.NoErr(a.Publish(note))
+	a.Leave()
+	var got fleet.Note
+	left := false
+	for end := time.After(deadline); !left || got.ID == ""; {
+		select {
+		case e := <-events:
+			if e.Kind == fleet.NoteReceived {
+				got = e.Note
+			}
+			left = left || e.Kind == fleet.MemberLeaving && e.Member.Address == a.Self().Address
+		case <-end:
+			t.Fatal("note or announcement did not arrive")
+		}
+	}
+	is.Equal(string(got.Body), string(note.Body))
+	is.True(got.Expires.Equal(note.Expires))
+	is.True(a.Publish(fleet.Note{ID: strings.Repeat("x", 900), Expires: note.Expires}) != nil)
+}
+
+// The decoder must accept nothing that the key did not sign, and must survive any input.
+func FuzzOpenDatagram(f *testing.F) {
+	m := &fleet.Message{
+		Kind: fleet.KindClaim, Incarnation: 5, Version: 7, Hash: "abcd",
+		Leases:  []fleet.LeaseItem{{Service: "ledger", Slice: 1, Round: 9, Holder: bob}},
+		Updates: []fleet.Update{{Member: fleet.Member{Address: alice, FailureDomain: "a", State: fleet.StateAlive}}},
+	}
+	good, err := sealDatagram(testKey, alice, bob, m)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add(good[:40])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		got, err := openDatagram([][]byte{testKey}, alice, bob, b)
+		if err == nil && !bytes.Equal(b[1:headerSize], datagramTag(testKey, alice, bob, b[headerSize:])) {
+			t.Fatalf("accepted without a valid tag: %+v", got)
+		}
+		// The same bytes as a signed body exercise the decoder behind the tag.
+		if len(b) == 0 || len(b) > fleet.MaxMessage {
+			return
+		}
+		signedBody := append(append([]byte{datagramProtocol}, datagramTag(testKey, alice, bob, b)...), b...)
+		got, err = openDatagram([][]byte{testKey}, alice, bob, signedBody)
+		if err != nil {
+			return
+		}
+		n := fleet.New(fleet.Config{Member: fleet.Member{Address: bob, FailureDomain: "a"}, Start: time.Unix(1, 0)}, time.Unix(1, 0))
+		n.Handle(time.Unix(2, 0), alice, got)
+		n.Tick(time.Unix(3, 0))
+	})
+}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -1,9 +1,13 @@
 package peer
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"testing"
@@ -154,3 +158,13 @@
 		})
 	}
 }
+
+// readRequest reads one request with its body.
+func readRequest(c net.Conn) (*http.Request, error) {
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r, err
+}
