Finish admitted work before a lease is handed over

Cause: a planned hand-over set the lease to zero, so that tasks of admitted queries that still waited for a permit were missing and the queries refused. Change: sched.Drain ends admission only; the holder renews its lease until the admitted work has ended.

--- a/sched/admit.go
+++ b/sched/admit.go
@@ -85,6 +85,9 @@
 }
 
 func (s *Slice) refusal(now time.Time, j *job) *wire.Failure {
+	if s.draining {
+		return handingOver()
+	}
 	if !now.Before(s.sendLimit()) {
 		return wire.Refuse(wire.StepLease, "", wire.ReasonNoHome, "no lease for the slice")
 	}
--- a/sched/slice.go
+++ b/sched/slice.go
@@ -73,16 +73,17 @@
 	latencies *route.Distribution
 	// holds are times from start to end of requests; gap is the time between two ends while
 	// requests wait.
-	holds   *route.Distribution
-	gap     route.Average
-	lastEnd time.Time
-	outlier *route.Outlier
-	guard   *guard.Guard[JobID]
-	rand    *rand.Rand
-	lease   time.Time
-	lastID  uint64
-	cands   []route.Candidate
-	places  []*server
+	holds    *route.Distribution
+	gap      route.Average
+	lastEnd  time.Time
+	outlier  *route.Outlier
+	guard    *guard.Guard[JobID]
+	rand     *rand.Rand
+	lease    time.Time
+	draining bool
+	lastID   uint64
+	cands    []route.Candidate
+	places   []*server
 }
 
 // New returns a slice without servers and without a lease.
--- a/serve/home.go
+++ b/serve/home.go
@@ -65,11 +65,9 @@
 	defer h.mu.Unlock()
 	if gained {
 		h.slice.Restart()
+		h.slice.Resume()
 		h.handing = false
 	}
-	if h.handing {
-		return
-	}
 	h.slice.SetLease(end)
 }
 
@@ -86,17 +84,23 @@
 	h.slice.Merge(time.Now(), m)
 }
 
-// handOver stops new work when the lease must go to another node, and releases it once the work
-// in flight has ended.
+// handOver stops new work when the lease must go to another node, and releases it once the admitted
+// work has ended.
 func (h *home) handOver() {
 	p := h.node.peer
-	if !p.Draining(h.key.service, h.key.slice) {
+	drain := p.Draining(h.key.service, h.key.slice)
+	h.mu.Lock()
+	if !drain {
+		if h.handing {
+			h.handing = false
+			h.slice.Resume()
+		}
+		h.mu.Unlock()
 		return
 	}
-	h.mu.Lock()
 	if !h.handing {
 		h.handing = true
-		h.slice.SetLease(time.Time{})
+		h.apply(h.slice.Drain())
 		h.node.log.Info("handing over the lease", "Service", h.key.service, "Slice", h.key.slice, "Busy", h.slice.Busy())
 	}
 	idle := h.slice.Busy() == 0 && h.slice.Outstanding() == 0
