Bound the order keys of one caller

Cause: one caller could fill the table of order keys, so that no other could place an order.

Change: Config.MaxCallerKeys, by default a quarter of MaxKeys.

--- a/back/client.go
+++ b/back/client.go
@@ -99,20 +99,17 @@
 	scratch sync.Pool
 	mu      sync.Mutex
 	pools   atomic.Pointer[map[netip.AddrPort]*pool]
-	stop    chan struct{}
+	stop    context.CancelFunc
 	done    chan struct{}
 }
 
 // NewClient returns a client without servers. Close ends it.
 func NewClient(c Config) *Client {
-	k := &Client{
-		config: c.withDefaults(),
-		stop:   make(chan struct{}),
-		done:   make(chan struct{}),
-	}
+	ctx, stop := context.WithCancel(context.Background())
+	k := &Client{config: c.withDefaults(), stop: stop, done: make(chan struct{})}
 	k.scratch.New = func() any { return newScratch() }
 	k.pools.Store(&map[netip.AddrPort]*pool{})
-	go k.reap()
+	go k.reap(ctx)
 	return k
 }
 
@@ -150,21 +147,22 @@
 	return p.count()
 }
 
-// Close drops all servers. Requests in flight are completed.
+// Close drops all servers. Requests in flight are completed, and their connections are closed
+// after it returns. It may be called more than once.
 func (k *Client) Close() {
 	k.SetServers(nil)
-	close(k.stop)
+	k.stop()
 	<-k.done
 }
 
 // reap closes idle connections that have reached their lifetime.
-func (k *Client) reap() {
+func (k *Client) reap(ctx context.Context) {
 	defer close(k.done)
 	t := time.NewTicker(max(k.config.IdleLifetime/4, time.Millisecond))
 	defer t.Stop()
 	for {
 		select {
-		case <-k.stop:
+		case <-ctx.Done():
 			return
 		case now := <-t.C:
 			for p := range maps.Values(*k.pools.Load()) {
--- a/guard/doc.go
+++ b/guard/doc.go
@@ -9,7 +9,7 @@
 //
 // At most two servers are lost to a fingerprint before its quarantine and one after each, as long
 // as the home of the fingerprint stays the same or moves after its notes have arrived, and as a
-// server ends a canceled request within Config.SuspectFor. Any crash of a server that is found by
-// other means, for instance by a refused connection, goes to ServerCrashed, so that a canary whose
-// caller has left is blamed for it.
+// server ends a canceled request within Config.SuspectFor. Each crash of a server goes to
+// ServerCrashed too, by whatever it was found, for instance a refused connection, so that a canary
+// whose caller has left is blamed for it.
 package guard
--- a/order/table.go
+++ b/order/table.go
@@ -17,6 +17,9 @@
 	defaultKeep     = 60 * time.Second
 	defaultMaxKeys  = 100_000
 	defaultMaxBatch = 100
+	// callerShare is the share of the table that one caller may fill, so that it cannot keep
+	// others from placing orders.
+	callerShare = 4
 	// defaultMaxResults is in bytes.
 	defaultMaxResults = 64 << 20
 )
@@ -34,6 +37,8 @@
 	// MaxKeys bounds the keys in the table, and MaxBatch those of one request.
 	MaxKeys  int
 	MaxBatch int
+	// MaxCallerKeys bounds the keys of one caller. The default is a quarter of MaxKeys.
+	MaxCallerKeys int
 	// MaxResults is the size of kept results, in bytes, from which on no key is issued or
 	// started. Results of orders in flight may exceed it.
 	MaxResults int
@@ -43,6 +48,8 @@
 type Table struct {
 	config  Config
 	entries map[uint64]*entry
+	// callers counts the keys of each caller.
+	callers map[string]int
 	// queue lists serials in the order of their expiry.
 	queue   []uint64
 	next    uint64
@@ -62,8 +69,11 @@
 	c.Keep = orDefault(c.Keep, defaultKeep)
 	c.MaxKeys = orDefault(c.MaxKeys, defaultMaxKeys)
 	c.MaxBatch = orDefault(c.MaxBatch, defaultMaxBatch)
+	c.MaxCallerKeys = orDefault(c.MaxCallerKeys, max(1, c.MaxKeys/callerShare))
 	c.MaxResults = orDefault(c.MaxResults, defaultMaxResults)
-	return &Table{config: c, entries: make(map[uint64]*entry), next: 1}, nil
+	return &Table{
+		config: c, entries: make(map[uint64]*entry), callers: make(map[string]int), next: 1,
+	}, nil
 }
 
 func orDefault[T int | time.Duration](v, d T) T {
@@ -83,6 +93,8 @@
 		return nil, t.refuse(wire.ReasonBadRequest, "Count must be from 1 to %d", t.config.MaxBatch)
 	case len(t.entries)+count > t.config.MaxKeys:
 		return nil, t.refuse(wire.ReasonOverload, "the table of order keys is full")
+	case t.callers[caller]+count > t.config.MaxCallerKeys:
+		return nil, t.refuse(wire.ReasonOverload, "the caller holds too many order keys")
 	case t.results >= t.config.MaxResults:
 		return nil, t.refuse(wire.ReasonOverload, "the results of orders take up their memory")
 	}
@@ -97,6 +109,7 @@
 			return nil, t.refuse(wire.ReasonBadRequest, "%v", err)
 		}
 		t.next++
+		t.callers[caller]++
 		t.entries[k.Serial] = &entry{key: k, state: Issued}
 		t.queue = append(t.queue, k.Serial)
 		keys = append(keys, wire.OrderKey{Key: text, Expires: k.Expires})
@@ -257,6 +270,9 @@
 			t.settle(e, Unknown)
 		}
 		t.results -= len(e.result)
+		if t.callers[e.key.Caller]--; t.callers[e.key.Caller] == 0 {
+			delete(t.callers, e.key.Caller)
+		}
 		delete(t.entries, t.queue[0])
 		t.queue = t.queue[1:]
 	}
