Believe a refusal of an order only when it belongs to the order

Cause: a refusal body of a backend server named no request, so that a duplicate answer on a connection could be taken for the refusal of the next order, which would then run twice. A refusal by an issuer before it looked at the key said 'not run' although an earlier attempt may run. Change: backend refusals repeat the request id, connections with a mismatching answer are retired, and the relaying node states Unknown for refusals at the steps decode, auth and ready.

--- a/back/classify.go
+++ b/back/classify.go
@@ -19,6 +19,9 @@
 	if status == http.StatusOK {
 		r.Class = OK
 		r.MayHaveRun = true
+		if s.sent.accept != nil {
+			s.sent.accept(s.in.Bytes(), r)
+		}
 		return
 	}
 	var f wire.BackendFailure
@@ -28,7 +31,7 @@
 	r.Reason, r.IndexVersion, r.Incarnation = f.Reason, f.IndexVersion, f.Incarnation
 	message := fmt.Sprintf("back: status %d, reason %s", status, f.Reason)
 	switch {
-	case !known(status, f.Reason):
+	case !known(status, f.Reason), f.RequestID != s.sent.id:
 		r.fail(Invalid, message)
 	case f.NotRun:
 		r.fail(NotRun, message)
--- a/back/client.go
+++ b/back/client.go
@@ -180,11 +180,14 @@
 	s := k.scratch.Get().(*scratch)
 	defer k.keep(s)
 	a := wire.ShardAnswer{Hits: make([]wire.Hit, 0, max(0, min(q.TopK, maxHits)))}
-	r := k.send(ctx, server, deadline, request{path: "/shard", id: q.RequestID, shard: q.Shard, body: &q}, s)
-	if r.Class != OK || !decode(s.in.Bytes(), &a, &r) {
-		return wire.ShardAnswer{}, r
-	}
-	matchQuery(&a, &q, &r)
+	r := k.send(ctx, server, deadline, request{
+		path: "/shard", id: q.RequestID, shard: q.Shard, body: &q,
+		accept: func(b []byte, r *Result) {
+			if decode(b, &a, r) {
+				matchQuery(&a, &q, r)
+			}
+		},
+	}, s)
 	if r.Class != OK {
 		return wire.ShardAnswer{}, r
 	}
@@ -201,17 +204,14 @@
 	s := k.scratch.Get().(*scratch)
 	defer k.keep(s)
 	var a wire.BackendOrderAnswer
-	r := k.send(ctx, server, deadline,
-		request{path: "/order", id: o.Key, shard: o.Shard, body: &o, order: true}, s)
-	if r.Class != OK || !decode(s.in.Bytes(), &a, &r) {
-		return wire.BackendOrderAnswer{}, r
-	}
-	switch {
-	case !a.Complete:
-		r.fail(Invalid, "back: the answer is not complete")
-	case a.Key != o.Key:
-		r.fail(Invalid, "back: the answer names another key")
-	}
+	r := k.send(ctx, server, deadline, request{
+		path: "/order", id: o.Key, shard: o.Shard, body: &o, order: true,
+		accept: func(b []byte, r *Result) {
+			if decode(b, &a, r) {
+				matchOrder(&a, &o, r)
+			}
+		},
+	}, s)
 	if r.Class != OK {
 		return wire.BackendOrderAnswer{}, r
 	}
@@ -241,8 +241,10 @@
 	s := k.scratch.Get().(*scratch)
 	defer k.keep(s)
 	var h wire.Health
-	r := k.send(ctx, server, deadline, request{path: path}, s)
-	if r.Class != OK || !decode(s.in.Bytes(), &h, &r) {
+	r := k.send(ctx, server, deadline, request{
+		path: path, accept: func(b []byte, r *Result) { decode(b, &h, r) },
+	}, s)
+	if r.Class != OK {
 		return wire.Health{}, r
 	}
 	r.Incarnation = h.Incarnation
@@ -262,3 +264,12 @@
 		r.fail(Invalid, "back: the answer names another index version")
 	}
 }
+
+func matchOrder(a *wire.BackendOrderAnswer, o *wire.BackendOrder, r *Result) {
+	switch {
+	case !a.Complete:
+		r.fail(Invalid, "back: the answer is not complete")
+	case a.Key != o.Key:
+		r.fail(Invalid, "back: the answer names another key")
+	}
+}
--- a/back/client_test.go
+++ b/back/client_test.go
@@ -42,7 +42,7 @@
 	}
 	health := func(incarnation string) func(net.Conn) bool { return body(200, wire.Health{Incarnation: incarnation}) }
 	failure := func(status int, notRun bool, reason wire.BackendReason) func(net.Conn) bool {
-		return body(status, wire.BackendFailure{NotRun: notRun, Reason: reason})
+		return body(status, wire.BackendFailure{RequestID: testQuery.RequestID, NotRun: notRun, Reason: reason})
 	}
 	changed := func(f func(*wire.ShardAnswer)) func(net.Conn) bool {
 		a := answerTo(testQuery)
@@ -70,6 +70,8 @@
 		{"deadline while running", failure(504, false, wire.BackendDeadline), nil, TimedOut},
 		{"reason of another status", failure(404, true, wire.BackendShed), nil, Invalid},
 		{"page of another server", raw(503, 6, "<html>"), nil, Invalid},
+		{"refusal of another request", body(503, wire.BackendFailure{RequestID: "q-2", NotRun: true, Reason: wire.BackendShed}), nil, Invalid},
+		{"refusal without a request", body(503, wire.BackendFailure{NotRun: true, Reason: wire.BackendShed}), nil, Invalid},
 		{"other request", changed(func(a *wire.ShardAnswer) { a.RequestID = "q-2" }), nil, Invalid},
 		{"other shard", changed(func(a *wire.ShardAnswer) { a.Shard = "s-2" }), nil, Invalid},
 		{"other version", changed(func(a *wire.ShardAnswer) { a.IndexVersion = "v2" }), nil, Invalid},
--- a/back/exchange.go
+++ b/back/exchange.go
@@ -25,6 +25,9 @@
 	shard string
 	body  any
 	order bool
+	// accept decodes an answer with status 200 and sets the class Invalid when it does not belong
+	// to the request. Nil accepts any.
+	accept func(answer []byte, r *Result)
 }
 
 // scratch holds the buffers of one request.
@@ -158,7 +161,9 @@
 	if err == nil {
 		c.served++
 		k.classify(status, s, r)
-		if reusable && stopped {
+		// After an answer that belongs to another request, each later one on the connection may be
+		// one late, and a refusal would be taken for that of the wrong order.
+		if reusable && stopped && r.Class != Invalid {
 			p.put(c)
 		} else {
 			p.retire(c)
--- a/serve/orders.go
+++ b/serve/orders.go
@@ -84,6 +84,10 @@
 	switch {
 	case f.Step == wire.StepRelay && !f.Forwarded:
 		f.Outcome, f.NotRun = wire.Unknown, false
+	case f.Step == wire.StepDecode || f.Step == wire.StepAuth || f.Step == wire.StepReady:
+		// The issuer refused this attempt before it looked at the key, which an earlier attempt
+		// may have started.
+		f.Outcome, f.NotRun, f.Forwarded = wire.Unknown, false, false
 	case f.Reason == wire.ReasonKeyForeign && f.Outcome == wire.Unknown:
 		// Another incarnation runs at the address of the issuer.
 		f.Forwarded = false
@@ -108,6 +112,7 @@
 	switch {
 	case out.Failure != nil:
 		f := *out.Failure
+		f.Forwarded = f.Forwarded || out.State == order.Closed || out.State == order.Unknown
 		return wire.OrderResult{}, &f
 	case out.State == order.Done:
 		return wire.OrderResult{Key: r.Order.Key, Outcome: wire.Answered, Result: out.Result}, nil
--- a/stand/job.go
+++ b/stand/job.go
@@ -277,7 +277,7 @@
 		s.refuse(w, r, reason)
 		return
 	}
-	f := wire.BackendFailure{Reason: reason, Incarnation: j.life.incarnation}
+	f := wire.BackendFailure{RequestID: j.id, Reason: reason, Incarnation: j.life.incarnation}
 	s.send(w, r, newReply(statusOf(reason), f))
 }
 
@@ -285,7 +285,7 @@
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, reason wire.BackendReason) {
 	s.mu.Lock()
 	s.record.NotRun[reason]++
-	f := wire.BackendFailure{NotRun: true, Reason: reason}
+	f := wire.BackendFailure{RequestID: r.Header.Get(wire.HeaderRequestID), NotRun: true, Reason: reason}
 	if s.life != nil {
 		f.Incarnation = s.life.incarnation
 	}
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -70,6 +70,9 @@
 
 // BackendFailure is the error body of a backend server.
 type BackendFailure struct {
+	// RequestID repeats the header of the request. A refusal without it is not believed, because
+	// it may belong to an earlier request on the connection.
+	RequestID string `json:"RequestId"`
 	NotRun       bool          `json:"NotRun"`
 	Reason       BackendReason `json:"Reason"`
 	IndexVersion string        `json:"IndexVersion,omitempty"`
