Test silent connections and late orders of the caller library

Cause: no test held several connections that go silent while new ones work, and the histories had no request that arrives after its deadline. Change: one test for the silent connections, one more fault in the histories.

--- a/call/history_test.go
+++ b/call/history_test.go
@@ -69,7 +69,7 @@
 	random := rand.New(rand.NewPCG(seed, 1))
 	n.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		mu.Lock()
-		fault, restart := random.IntN(10), random.IntN(40) == 0
+		fault, restart := random.IntN(12), random.IntN(40) == 0
 		mu.Unlock()
 		if restart {
 			x.restart()
@@ -104,6 +104,9 @@
 	case 2:
 		write(w, 503, notReady)
 		return
+	case 7:
+		write(w, 504, late)
+		return
 	}
 	result, f := x.run(o, fault == 3)
 	switch {
@@ -121,7 +124,8 @@
 }
 
 // Guards against a duplicated order, and against an outcome that differs from what happened, in
-// seeded histories of lost requests, lost replies, shedding, unreached issuers and restarts.
+// seeded histories of lost, late and refused requests, lost replies, shedding, unreached issuers
+// and restarts.
 func TestOrderHistories(t *testing.T) {
 	const histories, callers, orders = 8, 4, 10
 	for seed := range uint64(histories) {
--- a/call/query_test.go
+++ b/call/query_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
+	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -64,6 +67,43 @@
 	}
 }
 
+// Guards against connections that go silent for good while new ones work: each must cost at most
+// one attempt, and none of the others may be used again.
+func TestSilentConnections(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, answer)
+	var mu sync.Mutex
+	silent, opened := map[string]bool{}, map[string]bool{}
+	inner := n.Config.Handler
+	n.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		opened[r.RemoteAddr] = true
+		quiet := silent[r.RemoteAddr]
+		mu.Unlock()
+		if quiet {
+			<-r.Context().Done()
+			return
+		}
+		inner.ServeHTTP(w, r)
+	})
+	c := newClient(t, n, nil)
+	q := wire.Query{Kind: "lookup", Timeout: wire.Duration(400 * time.Millisecond)}
+	var wait sync.WaitGroup
+	for range 4 {
+		wait.Go(func() { _, _ = c.Query(context.Background(), "ledger", q) })
+	}
+	wait.Wait()
+	mu.Lock()
+	silent = maps.Clone(opened)
+	mu.Unlock()
+	for i := range 3 {
+		start := time.Now()
+		_, err := c.Query(context.Background(), "ledger", q)
+		is.NoErr(err)
+		is.True(i == 0 || time.Since(start) < 200*time.Millisecond)
+	}
+}
+
 // Guards against callers that multiply the load of an overloaded system.
 func TestQueryRetryBudget(t *testing.T) {
 	is := is.New(t)
