Leave time for the reply at a node's deadline, test TLS and replies

Cause: the client waited exactly as long as it told the node, so a refusal at the node's deadline came too late and counted as a broken connection. Change: a node is given up to 20 ms less than the client waits. A fuzz target reads replies to orders, and a test covers TLS.

--- a/call/client.go
+++ b/call/client.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/arbutusthread/arbutusthread/route"
+	"github.com/arbutusthread/arbutusthread/wire"
 )
 
 // Defaults of Config.
@@ -36,6 +37,8 @@
 	retryBurst = 10
 	// avoidFor is how long an address that failed is used only if there is no other.
 	avoidFor = time.Second
+	// longestWay is several times the round trip of 2 ms between callers and nodes.
+	longestWay = 20 * time.Millisecond
 	// shortestAttempt is the least time for which an attempt is made when others may follow.
 	shortestAttempt = 50 * time.Millisecond
 )
@@ -234,3 +237,9 @@
 	}
 	return left / 2
 }
+
+// nodeTime returns the time that a node is given when the client waits for d. The rest is for the
+// way, so that an answer or a refusal at the node's deadline still arrives.
+func nodeTime(d time.Duration) wire.Duration {
+	return wire.Duration(d - min(longestWay, d/10))
+}
--- a/call/order.go
+++ b/call/order.go
@@ -162,7 +162,7 @@
 	// The issuer runs the order for the whole time; only the wait for this address is shorter.
 	body := wire.Order{Key: key.Key, Kind: o.Kind, Body: o.Body}
 	if end, ok := ctx.Deadline(); ok && o.Timeout > 0 {
-		body.Timeout = wire.Duration(time.Until(end))
+		body.Timeout = nodeTime(time.Until(end))
 	}
 	r := c.send(ctx, peer, ordersPath(service), body, attemptTime(ctx, false))
 	return r, r.orderFate(key.Key, result)
--- a/call/query.go
+++ b/call/query.go
@@ -12,8 +12,9 @@
 )
 
 // Query sends a query and returns its answer. After a failure it sends the query again to
-// another address, within the timeout and a bounded number of attempts. The error is a
-// *wire.Failure. An empty RequestID is replaced by a random one.
+// another address, within the timeout and a bounded number of attempts; each but the last has
+// half of the remaining time. The error is a *wire.Failure. An empty RequestID is replaced by a
+// random one.
 func (c *Client) Query(ctx context.Context, service string, q wire.Query) (*wire.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout(q.Timeout))
 	defer cancel()
@@ -45,7 +46,7 @@
 func (c *Client) queryOnce(ctx context.Context, peer netip.AddrPort, service string, q wire.Query, last bool) (*wire.Answer, reply) {
 	limit := attemptTime(ctx, last)
 	if q.Timeout != 0 {
-		q.Timeout = wire.Duration(limit)
+		q.Timeout = nodeTime(limit)
 	}
 	r := c.send(ctx, peer, "/v1/services/"+url.PathEscape(service)+"/query", q, limit)
 	var a wire.Answer
--- a/call/query_test.go
+++ b/call/query_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
 	"net/http"
 	"net/netip"
@@ -67,6 +68,21 @@
 	}
 }
 
+// Guards against the loss of a reply that a node sends at the deadline that it was given.
+func TestQueryReplyAtDeadline(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, func(w http.ResponseWriter, body []byte) {
+		var q wire.Query
+		_ = json.Unmarshal(body, &q)
+		time.Sleep(q.Timeout.Std())
+		write(w, 503, coverage)
+	})
+	q := wire.Query{Kind: "lookup", Timeout: wire.Duration(time.Second)}
+	_, err := newClient(t, n, nil).Query(context.Background(), "ledger", q)
+	is.Equal(wire.AsFailure(err).Reason, wire.ReasonCoverage)
+	is.Equal(len(n.queriesSent()), 1)
+}
+
 // Guards against connections that go silent for good while new ones work: each must cost at most
 // one attempt, and none of the others may be used again.
 func TestSilentConnections(t *testing.T) {
--- /dev/null
+++ b/call/reply_test.go
@@ -0,0 +1,61 @@
+package call
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// FuzzOrderReply guards against a reply that is taken for a result or for a closed key without
+// saying so.
+func FuzzOrderReply(f *testing.F) {
+	f.Add(200, []byte(`{"Key":"k","Outcome":"Answered","Result":1}`))
+	f.Add(503, []byte(`{"Outcome":"Refused","NotRun":true,"Step":"lease","Reason":"NoHome"}`))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		r := reply{sent: true}
+		r.read(&http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(body))})
+		var result OrderResult
+		fate := r.orderFate("k", &result)
+		if fate == fateDone && status != http.StatusOK {
+			t.Fatal("result with an error status")
+		}
+		if fate == fateClosed && (r.failure == nil || !r.failure.NotRun || r.failure.Outcome != wire.Refused) {
+			t.Fatal("closed without a refusal")
+		}
+		if fate != fateDone && r.asFailure().Reason == "" {
+			t.Fatal("failure without a reason")
+		}
+	})
+}
+
+// Guards against a key that is sent without TLS, or to a node with a certificate of another
+// authority.
+func TestTLS(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, answer)
+	secure := httptest.NewTLSServer(n.Config.Handler)
+	t.Cleanup(secure.Close)
+	n.address = netip.MustParseAddrPort(secure.Listener.Addr().String())
+	n.addresses = []string{n.address.String()}
+	authorities := x509.NewCertPool()
+	authorities.AddCert(secure.Certificate())
+
+	c := newClient(t, n, func(config *Config) { config.TLS = &tls.Config{RootCAs: authorities} })
+	_, err := c.Query(context.Background(), "ledger", wire.Query{Kind: "lookup"})
+	is.NoErr(err)
+
+	c = newClient(t, n, func(config *Config) { config.TLS = &tls.Config{RootCAs: x509.NewCertPool()} })
+	_, err = c.Query(context.Background(), "ledger", wire.Query{Kind: "lookup"})
+	is.True(wire.AsFailure(err).NotRun)
+	is.Equal(len(n.queriesSent()), 1)
+}
