--- a/call/query_test.go
+++ b/call/query_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -64,6 +68,58 @@
 	}
 }
 
+// Guards against the loss of a reply that a node sends at the deadline that it was given.
+func TestQueryReplyAtDeadline(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, func(w http.ResponseWriter, body []byte) {
+		var q wire.Query
+		_ = json.Unmarshal(body, &q)
+		time.Sleep(q.Timeout.Std())
+		write(w, 503, coverage)
+	})
+	q := wire.Query{Kind: "lookup", Timeout: wire.Duration(time.Second)}
+	_, err := newClient(t, n, nil).Query(context.Background(), "ledger", q)
+	is.Equal(wire.AsFailure(err).Reason, wire.ReasonCoverage)
+	is.Equal(len(n.queriesSent()), 1)
+}
+
+// Guards against connections that go silent for good while new ones work: each must cost at most
+// one attempt, and none of the others may be used again.
+func TestSilentConnections(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, answer)
+	var mu sync.Mutex
+	silent, opened := map[string]bool{}, map[string]bool{}
+	inner := n.Config.Handler
+	n.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		opened[r.RemoteAddr] = true
+		quiet := silent[r.RemoteAddr]
+		mu.Unlock()
+		if quiet {
+			<-r.Context().Done()
+			return
+		}
+		inner.ServeHTTP(w, r)
+	})
+	c := newClient(t, n, nil)
+	q := wire.Query{Kind: "lookup", Timeout: wire.Duration(400 * time.Millisecond)}
+	var wait sync.WaitGroup
+	for range 4 {
+		wait.Go(func() { _, _ = c.Query(context.Background(), "ledger", q) })
+	}
+	wait.Wait()
+	mu.Lock()
+	silent = maps.Clone(opened)
+	mu.Unlock()
+	for i := range 3 {
+		start := time.Now()
+		_, err := c.Query(context.Background(), "ledger", q)
+		is.NoErr(err)
+		is.True(i == 0 || time.Since(start) < 200*time.Millisecond)
+	}
+}
+
 // Guards against callers that multiply the load of an overloaded system.
 func TestQueryRetryBudget(t *testing.T) {
 	is := is.New(t)
