sched: lower the allowance of slow servers step by step, and hold back all but the canary

Cause: one latency jump of a server that says that it is warm dropped it to ColdSlots, from where it took windows of answers to come back; requests that lost to their hedge never counted as slow; and a server without a known warm latency took that of its cold phase for warm. An ejected server stayed out for 1 s after a restart of 300 ms. Change: each slow answer halves the allowance and each answer at the warm latency raises it by one; a request in flight that is already slow lowers it for the time being and makes the server look up to twice as slow; a server that says cold or restarted still drops to ColdSlots at once. The warm latency comes from windows of 16 answers. While a canary is undecided only the canary runs. The first ejection lasts 250 ms.

--- a/limit/server.go
+++ b/limit/server.go
@@ -21,13 +21,16 @@
 	// jumpFactor is the ratio to the warm latency that counts as a jump. Latencies include the
 	// network, so a cold server that is three times as slow shows less than that.
 	jumpFactor = 1.8
-	// jumpAnswers is the number of answers in a row above jumpFactor that make a server cold. A
-	// single straggler must not.
-	jumpAnswers = 3
-	// warmFactor is the ratio to the warm latency up to which a window counts as warm.
-	warmFactor = 1.5
-	// windowAnswers is the number of answers from which the ramp decides on a step.
-	windowAnswers = 8
+	// slowStep is the factor by which each slow answer lowers the allowance of a server that says
+	// that it is warm. A straggler costs one step, a server that has turned cold reaches its
+	// ColdSlots after a few answers.
+	slowStep = 2
+	// warmFactor is the ratio to the warm latency up to which an answer raises the allowance. At 1.5 a
+	// server that is still cold raised it too early.
+	warmFactor = 1.25
+	// windowAnswers is the number of answers whose mean gives the warm latency. With fewer, the noise
+	// of two windows hides that the latency is still falling.
+	windowAnswers = 16
 	// plateau is the ratio of the latencies of two windows above which the latency counts as no
 	// longer falling.
 	plateau = 0.9
@@ -60,10 +63,11 @@
 	window      int
 	sum         time.Duration
 	lastMean    time.Duration
-	jumps       int
 	incarnation string
 	baseline    time.Duration
 	cause       ColdCause
+	// saidCold means that an answer since the start of the cold phase said so.
+	saidCold bool
 }
 
 // NewServer returns a cold server with no permit in use.
@@ -110,6 +114,11 @@
 	return s.allowance
 }
 
+// floor is what the server bears in a cold start.
+func (s *Server) floor() int {
+	return min(max(1, s.config.ColdSlots), s.config.Slots)
+}
+
 // Excess returns the number of requests in flight above the allowance.
 func (s *Server) Excess() int {
 	return max(0, s.inUse-s.allowance)
@@ -127,9 +136,9 @@
 
 // SetCold lowers the allowance to what a cold server bears.
 func (s *Server) SetCold(cause ColdCause) {
-	s.allowance = min(max(1, s.config.ColdSlots), s.config.Slots)
+	s.allowance = s.floor()
 	s.window, s.sum, s.lastMean = 0, 0, 0
-	s.jumps = 0
+	s.saidCold = false
 	s.cause = cause
 }
 
@@ -155,33 +164,53 @@
 	if !v.Warm {
 		turned := !s.Cold()
 		s.SetCold(ColdSaid)
+		s.saidCold = true
 		return turned
 	}
-	if s.jumped(v.Latency) {
-		s.SetCold(ColdLatency)
-		return true
+	if s.Slow(v.Latency) {
+		return s.StepDown()
 	}
 	s.ramp(v.Latency)
 	return false
 }
 
-func (s *Server) jumped(latency time.Duration) bool {
-	if s.Cold() || s.baseline == 0 || float64(latency) < jumpFactor*float64(s.baseline) {
-		s.jumps = 0
+// Slow reports whether a request that takes this long shows a slow server.
+func (s *Server) Slow(latency time.Duration) bool {
+	return s.baseline != 0 && float64(latency) >= jumpFactor*float64(s.baseline)
+}
+
+// Lower returns an allowance lowered by one step.
+func (s *Server) Lower(allowance int) int {
+	return min(allowance, max(allowance/slowStep, s.floor()))
+}
+
+// StepDown lowers the allowance after a slow request and reports whether it changed.
+func (s *Server) StepDown() bool {
+	s.window, s.sum, s.lastMean = 0, 0, 0
+	lower := s.Lower(s.allowance)
+	if lower == s.allowance {
 		return false
 	}
-	s.jumps++
-	return s.jumps >= jumpAnswers
+	s.allowance = lower
+	s.cause = ColdLatency
+	return true
 }
 
-// ramp doubles the allowance after a window of answers that shows a warm server: at the warm
-// latency, or, when none is known, at a latency that has stopped falling. A slow answer only makes
-// its window fail, so one straggler does not undo the ramp.
+// ramp raises the allowance by one after an answer at the warm latency.
 func (s *Server) ramp(latency time.Duration) {
-	if !s.Cold() {
+	switch {
+	case !s.Cold():
 		s.learn(latency)
-		return
+	case s.baseline == 0:
+		s.settle(latency)
+	case float64(latency) <= warmFactor*float64(s.baseline):
+		s.allowance = min(s.allowance+1, s.config.Slots)
 	}
+}
+
+// settle takes the warm latency from the first window of answers whose latency has stopped falling.
+// A server that said that it was cold, and now says that it is warm, needs one window only.
+func (s *Server) settle(latency time.Duration) {
 	s.window++
 	s.sum += latency
 	if s.window < windowAnswers {
@@ -190,20 +219,9 @@
 	mean := s.sum / windowAnswers
 	last := s.lastMean
 	s.window, s.sum, s.lastMean = 0, 0, mean
-	if !s.warmed(mean, last) {
-		return
-	}
-	if s.baseline == 0 {
+	if s.saidCold || (last != 0 && float64(mean) > plateau*float64(last)) {
 		s.baseline = mean
 	}
-	s.allowance = min(2*s.allowance, s.config.Slots)
-}
-
-func (s *Server) warmed(mean, last time.Duration) bool {
-	if s.baseline != 0 {
-		return float64(mean) <= warmFactor*float64(s.baseline)
-	}
-	return last != 0 && float64(mean) > plateau*float64(last)
 }
 
 // learn keeps the latency of a warm server. Outliers are left out, so that stragglers do not
--- a/route/outlier.go
+++ b/route/outlier.go
@@ -19,7 +19,7 @@
 // DefaultOutlier returns the limits in use.
 func DefaultOutlier() OutlierConfig {
 	return OutlierConfig{
-		Failures: 3, BaseEjection: time.Second, MaxEjection: 30 * time.Second, MaxShare: 0.5,
+		Failures: 3, BaseEjection: 250 * time.Millisecond, MaxEjection: 30 * time.Second, MaxShare: 0.5,
 	}
 }
 
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -166,7 +166,7 @@
 	return time.Duration((load + 1 - room) / rate)
 }
 
-func (s *Slice) share(now time.Time, t *task) float64 {
+func (s *Slice) share(t *task) float64 {
 	n := 0
 	for _, a := range t.Servers {
 		if v := s.servers[a]; v != nil && v.usable() {
@@ -189,13 +189,13 @@
 	s.hedges.Earn(len(j.tasks))
 	s.retries.Earn(len(j.tasks))
 	for _, t := range j.tasks {
-		s.commit(now, t)
+		s.commit(t)
 	}
 	s.begin(now, j, out)
 }
 
-func (s *Slice) commit(now time.Time, t *task) {
-	share := s.share(now, t)
+func (s *Slice) commit(t *task) {
+	share := s.share(t)
 	for _, a := range t.Servers {
 		if v := s.servers[a]; v != nil && v.usable() {
 			v.committed += share
--- a/sched/canary.go
+++ b/sched/canary.go
@@ -35,6 +35,15 @@
 	}
 }
 
+// holds reports whether the task must not be sent yet: while a canary is undecided nothing but the
+// canary runs, and only once at a time. Entries in the queues of servers can be older than that.
+func (j *job) holds(t *task) bool {
+	if j.canary == t {
+		return len(t.attempts) > 0
+	}
+	return j.waits || j.canary != nil
+}
+
 // canaryTask picks a task at random among those with the most healthy replicas, so that a second
 // crash does not take the last replica of a shard that has lost one already.
 func (s *Slice) canaryTask(now time.Time, j *job) *task {
--- a/sched/done.go
+++ b/sched/done.go
@@ -21,6 +21,7 @@
 	t := a.task
 	t.attempts = slices.DeleteFunc(t.attempts, func(b *attempt) bool { return b == a })
 	a.server.permits.Release()
+	a.server.flights = slices.DeleteFunc(a.server.flights, func(b *attempt) bool { return b == a })
 	if !r.certain() {
 		t.job.sent = true
 	}
@@ -87,6 +88,16 @@
 		if latency > v.average.Value() && v.average.Value() > 0 {
 			v.average.Add(latency)
 		}
+		if r.Class == Cancelled {
+			s.observeCancelled(now, v, latency, out)
+		}
+	}
+}
+
+// observeCancelled counts an attempt that was slow when it lost to its hedge as a slow answer.
+func (s *Slice) observeCancelled(now time.Time, v *server, latency time.Duration, out *Actions) {
+	if !s.config.IgnoreCold && v.permits.Slow(latency) && v.permits.StepDown() {
+		s.cancelExcess(now, v, out)
 	}
 }
 
--- a/sched/send.go
+++ b/sched/send.go
@@ -24,7 +24,7 @@
 
 // launch sends the task to a replica, or lets it wait for a permit.
 func (s *Slice) launch(now time.Time, t *task, p Purpose, out *Actions) {
-	if !t.open || t.job.ended || t.inFlight() > 0 {
+	if !t.open || t.job.ended || t.inFlight() > 0 || t.job.holds(t) {
 		return
 	}
 	if t.launched.IsZero() {
@@ -41,7 +41,7 @@
 	}
 	i := s.config.Replica.Decide(now, s.cands)
 	if i == route.NoChoice {
-		s.wait(now, t)
+		s.wait(t)
 		return
 	}
 	s.send(now, t, s.places[i], p, out)
@@ -71,12 +71,12 @@
 		if (preferred > 0 || hedge) && !s.preferred(now, t, v) {
 			continue
 		}
-		if !s.free(t, v) || (hedge && (v.permits.Cold() || t.runsOn(v))) {
+		if !s.free(now, t, v) || (hedge && (v.permits.Cold() || t.runsOn(v))) {
 			continue
 		}
 		s.cands = append(s.cands, route.Candidate{
-			Server: a, Latency: v.average.Value(), Outstanding: v.permits.InUse(),
-			Allowance: v.permits.Allowance(), Cold: v.permits.Cold(),
+			Server: a, Latency: v.latency(now), Outstanding: v.permits.InUse(),
+			Allowance: v.allowance(now), Cold: v.permits.Cold(),
 		})
 		s.places = append(s.places, v)
 	}
@@ -89,7 +89,7 @@
 
 // free reports whether the task may take a permit of the server now. A canary that must run alone
 // reserves the server, which then takes no other work until it is idle.
-func (s *Slice) free(t *task, v *server) bool {
+func (s *Slice) free(now time.Time, t *task, v *server) bool {
 	if v.reserved != nil && v.reserved != t {
 		return false
 	}
@@ -97,7 +97,7 @@
 		v.reserved = t
 		return v.permits.InUse() == 0
 	}
-	return v.permits.InUse() < v.permits.Allowance()
+	return v.permits.InUse() < v.allowance(now)
 }
 
 func (t *task) runsOn(v *server) bool {
@@ -111,11 +111,12 @@
 
 func (s *Slice) send(now time.Time, t *task, v *server, p Purpose, out *Actions) {
 	if !v.permits.Acquire() {
-		s.wait(now, t)
+		s.wait(t)
 		return
 	}
 	a := &attempt{id: AttemptID(s.newID()), task: t, server: v, sent: now, purpose: p}
 	s.attempts[a.id] = a
+	v.flights = append(v.flights, a)
 	t.attempts = append(t.attempts, a)
 	if p != Hedge {
 		t.tries++
@@ -134,7 +135,7 @@
 }
 
 // wait queues the task at its usable replicas until one of them has a free permit.
-func (s *Slice) wait(now time.Time, t *task) {
+func (s *Slice) wait(t *task) {
 	for _, a := range t.Servers {
 		if v := s.servers[a]; v != nil && v.usable() {
 			v.waiting = append(v.waiting, t)
@@ -144,7 +145,7 @@
 
 // wake launches tasks that wait for the server. Entries of settled tasks are dropped.
 func (s *Slice) wake(now time.Time, v *server, out *Actions) {
-	for n := len(v.waiting); n > 0 && v.permits.InUse() < v.permits.Allowance(); n-- {
+	for n := len(v.waiting); n > 0 && v.permits.InUse() < v.allowance(now); n-- {
 		t := v.waiting[0]
 		v.waiting[0] = nil
 		v.waiting = v.waiting[1:]
--- a/sched/server.go
+++ b/sched/server.go
@@ -15,6 +15,9 @@
 // endpoint says, unless it restarts: the endpoint lags.
 const drainMemory = 10 * time.Second
 
+// suspicionFactor bounds how much slower a server looks for a request that is not yet answered.
+const suspicionFactor = 2
+
 // ServerView is a backend server with what the configuration and the platform say of it.
 type ServerView struct {
 	conf.BackendServer
@@ -31,6 +34,8 @@
 	// committed is the number of requests that admitted work is expected to send here.
 	committed float64
 	waiting   []*task
+	// flights are the attempts in flight in the order of their sends.
+	flights []*attempt
 	// reserved is a task that must run here alone.
 	reserved *task
 	removed  bool
@@ -41,6 +46,31 @@
 	return v.unusable == "" && !v.removed && !v.stops
 }
 
+// allowance is the number of requests that may be in flight now. Each request that is slow already
+// lowers it by a step before its answer does, so that a server that has turned cold or slow gets
+// less work as soon as it can be seen.
+func (v *server) allowance(now time.Time) int {
+	n := v.permits.Allowance()
+	for _, a := range v.flights {
+		if !v.permits.Slow(now.Sub(a.sent)) {
+			break
+		}
+		n = v.permits.Lower(n)
+	}
+	return n
+}
+
+// latency is the moving average, raised by the age of the oldest request in flight, but to no more
+// than suspicionFactor times the average: one straggler must not make a fast server look worse than
+// one that is known to be slow.
+func (v *server) latency(now time.Time) time.Duration {
+	d := v.average.Value()
+	if len(v.flights) > 0 {
+		d = max(d, min(now.Sub(v.flights[0].sent), suspicionFactor*d))
+	}
+	return d
+}
+
 // SetServers makes the slice use exactly these servers. A server that becomes usable again counts
 // as cold, so that a returning failure domain is not overrun.
 func (s *Slice) SetServers(now time.Time, views []ServerView) Actions {
@@ -141,7 +171,7 @@
 	if excess == 0 {
 		return
 	}
-	for _, a := range s.newestAttempts(v) {
+	for _, a := range v.newestAttempts() {
 		if excess == 0 {
 			return
 		}
@@ -157,14 +187,9 @@
 	}
 }
 
-func (s *Slice) newestAttempts(v *server) []*attempt {
-	var list []*attempt
-	for _, a := range s.attempts {
-		if a.server == v {
-			list = append(list, a)
-		}
-	}
-	slices.SortFunc(list, func(a, b *attempt) int { return int(b.id) - int(a.id) })
+func (v *server) newestAttempts() []*attempt {
+	list := slices.Clone(v.flights)
+	slices.Reverse(list)
 	return list
 }
 
