--- a/sched/admit.go
+++ b/sched/admit.go
@@ -108,10 +108,34 @@
 	return min(hold, j.Deadline.Sub(j.submitted)/2)
 }
 
-// expectedWait is the time until the requests ahead of this one have been started, by the recent
-// time between the ends of two requests.
+// expectedWait is the time until the requests ahead of this one have been started: by the recent time
+// between the ends of two requests, or by what the servers can run if that is less. The first
+// includes what the second does not know, but a stall raises it for long.
 func (s *Slice) expectedWait(j *job) time.Duration {
-	return s.gap.Value() * time.Duration(s.queue.Ahead(j.Worth, j.Deadline))
+	ahead := s.queue.Ahead(j.Worth, j.Deadline)
+	if ahead == 0 {
+		return 0
+	}
+	return min(s.gap.Value(), s.capacityGap(j)) * time.Duration(ahead)
+}
+
+// capacityGap is the time that the most loaded server needs for its part of one such request when it
+// uses its whole allowance.
+func (s *Slice) capacityGap(j *job) time.Duration {
+	loads := make(map[*server]float64, len(j.Tasks))
+	var longest time.Duration
+	for i := range j.Tasks {
+		share := s.share(&j.Tasks[i])
+		for _, a := range j.Tasks[i].Servers {
+			v := s.servers[a]
+			if v == nil || !v.usable() {
+				continue
+			}
+			loads[v] += share / float64(v.permits.Allowance())
+			longest = max(longest, time.Duration(loads[v]*float64(v.average.Value())))
+		}
+	}
+	return longest
 }
 
 // pump starts waiting requests while the servers have room for them.
@@ -166,7 +190,7 @@
 	return time.Duration((load + 1 - room) / rate)
 }
 
-func (s *Slice) share(t *task) float64 {
+func (s *Slice) share(t *Task) float64 {
 	n := 0
 	for _, a := range t.Servers {
 		if v := s.servers[a]; v != nil && v.usable() {
@@ -195,7 +219,7 @@
 }
 
 func (s *Slice) commit(t *task) {
-	share := s.share(t)
+	share := s.share(&t.Task)
 	for _, a := range t.Servers {
 		if v := s.servers[a]; v != nil && v.usable() {
 			v.committed += share
