limit: follow earlier cold starts of a slice while a server still says that it is cold

Change: the answers of a whole cold phase are counted; a later server ramps by its share of that number, bounded by the fall of its latency.

--- a/limit/server.go
+++ b/limit/server.go
@@ -44,6 +44,11 @@
 	Slots int
 	// ColdSlots is the number of requests that it bears in a cold start.
 	ColdSlots int
+	// Warming is shared by the servers of a slice; nil means that nothing is learned.
+	Warming *Warming
+	// Known, when it is set, is what the server is known to bear now, and replaces the ramp. It is
+	// for baselines.
+	Known func() int
 }
 
 // Sample is what one answer tells about a server.
@@ -66,8 +71,10 @@
 	incarnation string
 	baseline    time.Duration
 	cause       ColdCause
-	// saidCold means that an answer since the start of the cold phase said so.
-	saidCold bool
+	// phase counts the answers that say cold since the server was last found cold.
+	phase coldPhase
+	// warmedUp means that the answers said cold before they said warm.
+	warmedUp bool
 }
 
 // NewServer returns a cold server with no permit in use.
@@ -90,7 +97,7 @@
 
 // Acquire takes a permit. It returns false when the allowance is used up.
 func (s *Server) Acquire() bool {
-	if s.inUse >= s.allowance {
+	if s.inUse >= s.Allowance() {
 		return false
 	}
 	s.inUse++
@@ -111,6 +118,9 @@
 
 // Allowance returns the number of requests that the server may run at once now.
 func (s *Server) Allowance() int {
+	if s.config.Known != nil {
+		return s.config.Known()
+	}
 	return s.allowance
 }
 
@@ -121,12 +131,12 @@
 
 // Excess returns the number of requests in flight above the allowance.
 func (s *Server) Excess() int {
-	return max(0, s.inUse-s.allowance)
+	return max(0, s.inUse-s.Allowance())
 }
 
 // Cold reports whether the allowance is below the server's slots.
 func (s *Server) Cold() bool {
-	return s.allowance < s.config.Slots
+	return s.Allowance() < s.config.Slots
 }
 
 // Cause returns why the server was last treated as cold.
@@ -138,7 +148,7 @@
 func (s *Server) SetCold(cause ColdCause) {
 	s.allowance = s.floor()
 	s.window, s.sum, s.lastMean = 0, 0, 0
-	s.saidCold = false
+	s.phase, s.warmedUp = coldPhase{}, false
 	s.cause = cause
 }
 
@@ -162,11 +172,9 @@
 		return true
 	}
 	if !v.Warm {
-		turned := !s.Cold()
-		s.SetCold(ColdSaid)
-		s.saidCold = true
-		return turned
+		return s.observeCold(v.Latency)
 	}
+	s.endPhase()
 	if s.Slow(v.Latency) {
 		return s.StepDown()
 	}
@@ -174,6 +182,33 @@
 	return false
 }
 
+// observeCold includes an answer that says cold. The first one drops the allowance; the following ones
+// raise it as far as earlier cold starts show that the server has warmed up.
+func (s *Server) observeCold(latency time.Duration) bool {
+	if s.phase.answers == 0 {
+		turned := !s.Cold()
+		s.SetCold(ColdSaid)
+		s.phase.add(latency)
+		return turned
+	}
+	s.phase.add(latency)
+	more := float64(s.config.Slots-s.floor()) * s.phase.progress(s.config.Warming, s.baseline)
+	s.allowance = max(s.allowance, min(s.floor()+int(more), s.config.Slots-1))
+	return false
+}
+
+// endPhase ends a cold phase at the first answer that says warm.
+func (s *Server) endPhase() {
+	if s.phase.answers == 0 {
+		return
+	}
+	if s.config.Warming != nil {
+		s.config.Warming.learn(s.phase.answers)
+	}
+	s.phase = coldPhase{}
+	s.warmedUp = true
+}
+
 // Slow reports whether a request that takes this long shows a slow server.
 func (s *Server) Slow(latency time.Duration) bool {
 	return s.baseline != 0 && float64(latency) >= jumpFactor*float64(s.baseline)
@@ -208,18 +243,18 @@
 	}
 }
 
-// settle takes the warm latency from the first window of answers whose latency has stopped falling.
-// A server that said that it was cold, and now says that it is warm, needs one window only.
+// settle takes the warm latency from the first window of answers whose latency has stopped falling. A
+// server that said that it was cold, and now says that it is warm, needs only a few answers.
 func (s *Server) settle(latency time.Duration) {
 	s.window++
 	s.sum += latency
-	if s.window < windowAnswers {
+	if s.window < windowAnswers && (!s.warmedUp || s.window < firstAnswers) {
 		return
 	}
-	mean := s.sum / windowAnswers
+	mean := s.sum / time.Duration(s.window)
 	last := s.lastMean
 	s.window, s.sum, s.lastMean = 0, 0, mean
-	if s.saidCold || (last != 0 && float64(mean) > plateau*float64(last)) {
+	if s.warmedUp || (last != 0 && float64(mean) > plateau*float64(last)) {
 		s.baseline = mean
 	}
 }
--- a/sched/server.go
+++ b/sched/server.go
@@ -93,10 +93,13 @@
 }
 
 func (s *Slice) setServer(w ServerView) {
-	limits := limit.ServerConfig{Slots: w.Slots, ColdSlots: w.ColdSlots}
+	limits := limit.ServerConfig{Slots: w.Slots, ColdSlots: w.ColdSlots, Warming: &s.warming}
 	if s.config.IgnoreCold {
 		limits.ColdSlots = w.Slots
 	}
+	if s.config.Bears != nil {
+		limits.Known = func() int { return s.config.Bears(w.Address) }
+	}
 	v := s.servers[w.Address]
 	if v == nil {
 		v = &server{address: w.Address, permits: limit.NewServer(limits)}
@@ -209,6 +212,14 @@
 	Latency   wire.Duration  `json:"Latency"`
 }
 
+// Allowance returns the number of requests that the server may run at once now, 0 for an unknown one.
+func (s *Slice) Allowance(address netip.AddrPort) int {
+	if v := s.servers[address]; v != nil {
+		return v.permits.Allowance()
+	}
+	return 0
+}
+
 // Status returns the state of all servers in the order of their addresses.
 func (s *Slice) Status(now time.Time) []ServerStatus {
 	list := make([]ServerStatus, 0, len(s.servers))
--- a/sched/slice.go
+++ b/sched/slice.go
@@ -40,6 +40,9 @@
 	AdmitAll bool
 	// IgnoreCold gives each server its full slots always; it is a baseline.
 	IgnoreCold bool
+	// Bears, when it is set, returns what a server bears now, which replaces the ramp; it is a
+	// baseline.
+	Bears func(netip.AddrPort) int
 }
 
 func (c *Config) setDefaults() {
@@ -77,6 +80,7 @@
 	gap     route.Average
 	lastEnd time.Time
 	outlier *route.Outlier
+	warming limit.Warming
 	guard   *guard.Guard[JobID]
 	rand    *rand.Rand
 	lease   time.Time
--- a/trial/cases.go
+++ b/trial/cases.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/arbutusthread/arbutusthread/conf"
@@ -120,7 +121,7 @@
 			{At: 9 * time.Second, Do: func(w *world) { w.turnCold(w.order[1]) }},
 			{At: 12 * time.Second, Do: func(w *world) { w.turnCold(w.order[2]) }},
 		},
-		Policies: []Policy{InUse(), LeastOutstanding(), Uncoordinated(6)},
+		Policies: []Policy{InUse(), BestRamp(), LeastOutstanding(), Uncoordinated(6)},
 	}
 }
 
@@ -132,6 +133,26 @@
 	return c
 }
 
+// Ramp is one server that is cold at the start, turns cold at 3 s and restarts at 6 s, under more load
+// than it can carry cold, so that only the ramp decides when it is in full use. With first only the
+// start counts, where the scheduler has seen no cold start yet, else only the later ones.
+func Ramp(first bool) Case {
+	c := Cold()
+	c.Name, c.About = "ramp", "1 server with 6 slots under 500 requests/s turns cold at 3 s and restarts at 6 s"
+	c.Shards, c.Replicas, c.Servers, c.Duration, c.Warmup = 1, 1, 1, 10*time.Second, 2*time.Second
+	c.Kinds = reading(500)
+	c.Script = []Step{
+		{At: 3 * time.Second, Do: func(w *world) { w.turnCold(w.order[0]) }},
+		{At: 6 * time.Second, Do: func(w *world) { w.crash(w.order[0]) }},
+	}
+	if first {
+		c.Name, c.About = "ramp-first", "1 server with 6 slots under 500 requests/s starts cold"
+		c.Duration, c.Warmup, c.Script = 2*time.Second, 0, nil
+	}
+	c.Policies = []Policy{InUse(), BestRamp(), LeastOutstanding()}
+	return c
+}
+
 // Crash is a request that crashes each server that runs it and is sent again by its caller.
 func Crash() Case {
 	c := Case{
@@ -160,7 +181,64 @@
 			{At: 4 * time.Second, Do: func(w *world) { w.takeOut(2) }},
 			{At: 10 * time.Second, Do: func(w *world) { w.bringBack(2) }},
 		},
-		Policies: []Policy{InUse(), LeastOutstanding(), Uncoordinated(6)},
+		Policies: []Policy{InUse(), BestRamp(), LeastOutstanding(), Uncoordinated(6)},
+	}
+}
+
+// DomainLoaded is Domain under a load that the remaining servers can just carry, so the servers of the
+// returning domain would all be overrun at once by a sender that gives them their share.
+func DomainLoaded() Case {
+	c := Domain()
+	c.Name = "domain-loaded"
+	c.About = "6 servers in 3 domains under 400 queries/s; one domain is taken out at 4 s and returns cold at 10 s"
+	c.Kinds = reading(400)
+	return c
+}
+
+// Partial is an outage of a third of the servers: each request to them fails after a byte was sent.
+func Partial() Case {
+	c := Domain()
+	c.Name, c.About = "partial", "6 servers; 2 of them fail each request from 4 s to 10 s"
+	c.Kinds = reading(100)
+	c.Script = []Step{
+		{At: 4 * time.Second, Do: func(w *world) { w.setFailing(2, true) }},
+		{At: 10 * time.Second, Do: func(w *world) { w.setFailing(2, false) }},
+	}
+	return c
+}
+
+func (w *world) setFailing(n int, failing bool) {
+	for _, v := range w.order[:n] {
+		v.failing = failing
+	}
+}
+
+// group is a service of section 1.6 of the design page with its own servers: each shard has a replica
+// on every server. The load is half of what the servers carry, and a domain leaves for 4 s.
+func group(name string, servers, slots int) Case {
+	m := wideModel()
+	m.Slots = slots
+	perQuery := time.Duration(servers) * (m.Service + 2*m.Network)
+	c := Case{
+		Name: name, About: fmt.Sprintf("%d servers with %d slots at half load; the first is out from 4 s to 8 s", servers, slots),
+		Shards: servers, Replicas: servers, Servers: servers, Model: m, Preset: ordinary(),
+		Duration: 12 * time.Second, Warmup: time.Second, Proven: true,
+		Script: []Step{
+			{At: 4 * time.Second, Do: func(w *world) { w.takeOut(1) }},
+			{At: 8 * time.Second, Do: func(w *world) { w.bringBack(1) }},
+		},
+		Policies: []Policy{InUse(), RoundRobin(), LeastOutstanding()},
+	}
+	c.Kinds = mixed(0.5, float64(servers*slots)/perQuery.Seconds())
+	return c
+}
+
+// Groups are the groups of both deployments: cooperative-desk and festival-board, as well as
+// dispatch-desk and member-portal, have the same sizes.
+func Groups() []Case {
+	return []Case{
+		group("cooperative-desk", 2, 2), group("workshop-ledger", 5, 6), group("school-buying", 3, 6),
+		group("dispatch-desk", 2, 2), group("billing-office", 4, 6), group("grinder-yard", 3, 6),
 	}
 }
 
@@ -191,6 +269,7 @@
 		v.markedAt = 0
 		w.turnCold(v)
 	}
+	w.returned = w.now
 	w.update()
 }
 
@@ -206,7 +285,8 @@
 
 // Cases returns all cases in the order of the report.
 func Cases() []Case {
-	return []Case{
-		Tail(false), Tail(true), Overload(1), Overload(2), Overload(5), Cold(), ColdSilent(), Crash(), Domain(), Leave(),
-	}
+	return append([]Case{
+		Tail(false), Tail(true), Overload(1), Overload(2), Overload(5), Cold(), ColdSilent(), Ramp(true), Ramp(false),
+		Crash(), Domain(), DomainLoaded(), Leave(), Partial(),
+	}, Groups()...)
 }
--- a/trial/model.go
+++ b/trial/model.go
@@ -49,6 +49,7 @@
 	incarnation int
 	down        bool
 	leaving     bool
+	failing     bool
 	// slowFrom and slowUntil are the current or next slow episode.
 	slowFrom, slowUntil time.Duration
 	episodes            *rand.Rand
@@ -58,11 +59,14 @@
 	coldOver     int
 	coldUnseen   int
 	// shown is the time of the first answer since the server turned cold.
-	shown      time.Duration
-	overSince  time.Duration
-	crashes    int
-	sheds      int
-	full       time.Duration
+	shown     time.Duration
+	overSince time.Duration
+	crashes   int
+	sheds     int
+	// coldSince is the start of the present cold phase in which the server may be used; ramping
+	// means that it has not come into full use since.
+	coldSince  time.Duration
+	ramping    bool
 	markedAt   time.Duration
 	lastMarked time.Duration
 	afterMark  int
@@ -82,6 +86,7 @@
 
 func newModelServer(m Model, seed uint64, a netip.AddrPort) *modelServer {
 	v := &modelServer{model: m, address: a, seed: seed, running: make(map[flightKey]*flight), incarnation: 1}
+	v.ramping = m.StartCold
 	if !m.StartCold {
 		v.served = m.WarmAfter
 	}
@@ -110,6 +115,12 @@
 	return v.served < v.model.WarmAfter
 }
 
+// turnCold starts a cold phase.
+func (v *modelServer) turnCold(now time.Duration) {
+	v.served, v.shown = 0, 0
+	v.coldSince, v.ramping = now, true
+}
+
 // bears returns the number of requests that the server can run at once now.
 func (v *modelServer) bears() int {
 	if !v.cold() {
--- a/trial/policy.go
+++ b/trial/policy.go
@@ -52,6 +52,13 @@
 	}}
 }
 
+// BestRamp is the policy in use with servers that always get exactly what they bear.
+func BestRamp() Policy {
+	return Policy{Name: "best ramp", Apply: func(c *sched.Config, w *world) {
+		c.Bears = func(a netip.AddrPort) int { return w.servers[a].bears() }
+	}}
+}
+
 // Uncoordinated is the policy in use on n nodes that all send to the same servers, each within its
 // own limits.
 func Uncoordinated(n int) Policy {
--- a/trial/report.go
+++ b/trial/report.go
@@ -19,20 +19,31 @@
 	for _, r := range results {
 		if r.Case != last {
 			last = r.Case
-			fmt.Fprintf(t, "\n%s (seed %d)\n", r.Case, r.Seed)
-			fmt.Fprintln(t, "policy\tp50\tp99\tp99.9\tideal p99\tcoverage\textra\tgoodput\tworth\tcold over+unseen\tcrashes\tsheds\tlast new work\tkinds answered")
+			fmt.Fprintf(t, "\n%s (%s)\n", r.Case, seeds(r))
+			fmt.Fprintln(t, "policy\tp50\tp99\tp99.9\tideal p99\tcoverage\textra\tgoodput\tworth\tscores B, C\tcold over+unseen\tfull use\tcrashes\tsheds\tlast new work\tkinds answered")
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%.4f\t%.2f%%\t%.1f/s\t%.1f/s\t%d+%d of %d\t%d\t%d\t%s\t%s\n",
-			r.Policy, ms(r.P50), ms(r.P99), ms(r.P999), ms(r.IdealP99), r.Coverage, 100*r.Extra, r.Goodput, r.Worth,
-			r.ColdOver, r.ColdUnseen, r.ColdReceived, r.Crashes, r.Sheds, ms(r.LastNewWork), kinds(r))
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%.4f\t%.2f%%\t%.1f/s\t%.1f/s\t%.3f, %.3f\t%d+%d of %d\t%s\t%d\t%d\t%s\t%s\n",
+			r.Policy, ms(r.P50), ms(r.P99), ms(r.P999), ms(r.IdealP99), r.Coverage, 100*r.Extra, r.Goodput, r.Worth, r.Bureau, r.Cooperative,
+			r.ColdOver, r.ColdUnseen, r.ColdReceived, fullUse(r), r.Crashes, r.Sheds, ms(r.LastNewWork), kinds(r))
 	}
 	return errors.Wrap(t.Flush(), "trial: write report")
 }
 
+func seeds(r Result) string {
+	if r.Seeds == 1 {
+		return fmt.Sprintf("seed %d", r.Seed)
+	}
+	return fmt.Sprintf("%d seeds", r.Seeds)
+}
+
 func ms(d wire.Duration) string {
 	return fmt.Sprintf("%.1fms", float64(d)/float64(time.Millisecond))
 }
 
+func fullUse(r Result) string {
+	return fmt.Sprintf("%s (%d)", ms(r.FullUse), r.Ramps)
+}
+
 func kinds(r Result) string {
 	names := make([]string, 0, len(r.Kinds))
 	for n := range r.Kinds {
--- a/trial/result.go
+++ b/trial/result.go
@@ -12,10 +12,12 @@
 
 // Result holds the figures of one case with one policy.
 type Result struct {
-	Case   string                `json:"Case"`
-	Policy string                `json:"Policy"`
-	Seed   uint64                `json:"Seed"`
-	Kinds  map[string]KindResult `json:"Kinds"`
+	Case   string `json:"Case"`
+	Policy string `json:"Policy"`
+	Seed   uint64 `json:"Seed"`
+	// Seeds is the number of runs that the figures come from.
+	Seeds int                   `json:"Seeds"`
+	Kinds map[string]KindResult `json:"Kinds"`
 	// P50, P99 and P999 are latencies of answered requests of all kinds.
 	P50  wire.Duration `json:"P50"`
 	P99  wire.Duration `json:"P99"`
@@ -38,14 +40,27 @@
 	Sheds        int `json:"Sheds"`
 	// LastNewWork is the longest time from taking a server out until its last new request.
 	LastNewWork wire.Duration `json:"LastNewWork"`
-	// FullUse is the time at which the last server was warm.
+	// FullUse is the mean time from the start of a cold phase until the server is warm and may use
+	// all its slots; Ramps is the number of such phases.
 	FullUse wire.Duration `json:"FullUse"`
+	Ramps   int           `json:"Ramps"`
+
+	// Bureau and Cooperative are the scores by the weights of both users.
+	Bureau      float64 `json:"Bureau"`
+	Cooperative float64 `json:"Cooperative"`
 
 	latencies, ideals *hdr.Histogram
 	covered, asked    int
 	sends, firsts     int
-	span              time.Duration
-	warmup            time.Duration
+	answers           int
+	wanted            int
+	// worth and offered weigh the requests answered and sent; moveWorth and moveOffered those that
+	// arrived while a failure domain moved.
+	worth, offered         float64
+	moveWorth, moveOffered float64
+	ramped                 time.Duration
+	span                   time.Duration
+	warmup                 time.Duration
 }
 
 // KindResult holds the figures of one kind of request.
@@ -57,7 +72,7 @@
 
 func newResult(c Case, p Policy, seed uint64) Result {
 	return Result{
-		Case: c.Name, Policy: p.Name, Seed: seed, Kinds: make(map[string]KindResult),
+		Case: c.Name, Policy: p.Name, Seed: seed, Seeds: 1, Kinds: make(map[string]KindResult),
 		latencies: hdr.New(1, time.Minute.Microseconds(), 3), ideals: hdr.New(1, time.Minute.Microseconds(), 3),
 		span: c.Duration - c.Warmup, warmup: c.Warmup,
 	}
@@ -76,7 +91,12 @@
 	}
 	k := r.Kinds[q.kind.Name]
 	k.Sent++
-	asked := len(w.tasks)
+	asked := q.shards
+	r.wanted += asked
+	r.offered += q.kind.Worth
+	if q.moving {
+		r.moveOffered += q.kind.Worth
+	}
 	covered := asked - len(f.Missing)
 	if f.Failure != nil || float64(covered) < q.kind.MinCoverage*float64(asked) {
 		k.Refused++
@@ -87,8 +107,11 @@
 	r.Kinds[q.kind.Name] = k
 	r.asked += asked
 	r.covered += covered
-	r.Goodput++
-	r.Worth += q.kind.Worth
+	r.answers++
+	r.worth += q.kind.Worth
+	if q.moving {
+		r.moveWorth += q.kind.Worth
+	}
 	// Latencies are below the range's minute, so recording cannot fail.
 	_ = r.latencies.RecordValue((w.now - q.arrived).Microseconds())
 	if q.ideal > 0 {
@@ -97,31 +120,27 @@
 }
 
 func (r *Result) close(w *world) {
-	at := func(h *hdr.Histogram, q float64) wire.Duration {
-		return wire.Duration(time.Duration(h.ValueAtQuantile(q)) * time.Microsecond)
-	}
-	r.P50, r.P99, r.P999 = at(r.latencies, 50), at(r.latencies, 99), at(r.latencies, 99.9)
-	r.IdealP99 = at(r.ideals, 99)
-	if r.asked > 0 {
-		r.Coverage = float64(r.covered) / float64(r.asked)
-	}
-	if r.firsts > 0 {
-		r.Extra = float64(r.sends-r.firsts) / float64(r.firsts)
-	}
-	r.Goodput /= r.span.Seconds()
-	r.Worth /= r.span.Seconds()
+	r.summarize()
 	for _, v := range w.order {
 		r.addServer(v)
 	}
 }
 
+func (r *Result) ramp(d time.Duration) {
+	r.ramped += d
+	r.Ramps++
+}
+
+func quantile(h *hdr.Histogram, q float64) wire.Duration {
+	return wire.Duration(time.Duration(h.ValueAtQuantile(q)) * time.Microsecond)
+}
+
 func (r *Result) addServer(v *modelServer) {
 	r.ColdOver += v.coldOver
 	r.ColdUnseen += v.coldUnseen
 	r.ColdReceived += v.coldReceived
 	r.Crashes += v.crashes
 	r.Sheds += v.sheds
-	r.FullUse = max(r.FullUse, wire.Duration(v.full))
 	if v.afterMark > 0 && v.markedAt > 0 {
 		r.LastNewWork = max(r.LastNewWork, wire.Duration(v.lastMarked-v.markedAt))
 	}
--- a/trial/world.go
+++ b/trial/world.go
@@ -32,6 +32,8 @@
 	result  Result
 	unused  map[netip.AddrPort]string
 	flights map[flightKey]*flight
+	// returned is the time at which a failure domain last came back.
+	returned time.Duration
 }
 
 // sender is one node's scheduler.
@@ -49,13 +51,16 @@
 	arrived time.Duration
 	poison  bool
 	ideal   time.Duration
+	shards  int
+	// moving means that it arrived while a failure domain moved.
+	moving bool
 }
 
 func newWorld(c Case, p Policy, seed uint64) *world {
 	w := &world{
 		setup: c, policy: p, servers: make(map[netip.AddrPort]*modelServer),
 		rand: rand.New(rand.NewPCG(seed, 7)), unused: make(map[netip.AddrPort]string),
-		flights: make(map[flightKey]*flight),
+		flights: make(map[flightKey]*flight), returned: -moveTime,
 	}
 	w.result = newResult(c, p, seed)
 	w.build(seed)
@@ -119,6 +124,9 @@
 	return w.result
 }
 
+// moveTime is how long after its return a failure domain counts as moving.
+const moveTime = 2 * time.Second
+
 // drainTime is how long a run goes on after the last arrival.
 const drainTime = 2 * time.Second
 
@@ -145,6 +153,8 @@
 	if !k.Idempotent {
 		tasks = tasks[:1]
 	}
+	r.shards = len(tasks)
+	r.moving = len(w.unused) > 0 || w.now < w.returned+moveTime
 	if k.Idempotent && w.setup.Ideal {
 		r.ideal = w.ideal(r, tasks)
 	}
@@ -230,7 +240,7 @@
 		server.lastMarked = w.now
 	}
 	if server.down {
-		w.answer(s, key, server.result(sched.Unsent, ""), w.now+2*w.setup.Model.Network)
+		w.answer(s, server, key, server.result(sched.Unsent, ""), w.now+2*w.setup.Model.Network)
 		return
 	}
 	f := &flight{key: key, server: server}
@@ -244,6 +254,10 @@
 	if f.ended {
 		return
 	}
+	if server.failing {
+		w.end(s, f, server.result(sched.Broken, ""))
+		return
+	}
 	if w.poisoned(s, v.Job) {
 		w.crash(server)
 		return
@@ -301,9 +315,6 @@
 	if len(f.server.running) <= f.server.bears() {
 		f.server.overSince = 0
 	}
-	if f.server.full == 0 && !f.server.cold() {
-		f.server.full = w.now
-	}
 	w.end(s, f, f.server.result(sched.OK, ""))
 }
 
@@ -315,15 +326,28 @@
 	if f.server.cold() && f.server.shown == 0 && r.Class != sched.Cancelled {
 		f.server.shown = w.now
 	}
-	w.answer(s, f.key, r, w.now+w.setup.Model.Network)
+	w.answer(s, f.server, f.key, r, w.now+w.setup.Model.Network)
 }
 
-func (w *world) answer(s *sender, key flightKey, r sched.Result, at time.Duration) {
+func (w *world) answer(s *sender, v *modelServer, key flightKey, r sched.Result, at time.Duration) {
 	w.events.add(at, func() {
 		w.carryOut(s, s.slice.Done(w.time(), key.attempt, r))
+		w.checkRamp(s, v)
 	})
 }
 
+// checkRamp ends the ramp of a server that is warm and may use all its slots.
+func (w *world) checkRamp(s *sender, v *modelServer) {
+	if !v.ramping || v.cold() || s.slice.Allowance(v.address) < v.model.Slots {
+		return
+	}
+	v.ramping = false
+	if v.coldSince < w.setup.Warmup {
+		return
+	}
+	w.result.ramp(w.now - v.coldSince)
+}
+
 func (w *world) cancel(s *sender, a sched.AttemptID) {
 	key := flightKey{sender: s.id, attempt: a}
 	w.events.add(w.now+w.setup.Model.Network, func() {
@@ -344,15 +368,11 @@
 	w.events.add(w.now+w.setup.Model.Restart, func() {
 		v.down = false
 		v.incarnation++
-		v.served = 0
-		v.full = 0
-		v.shown = 0
+		v.turnCold(w.now)
 	})
 }
 
 // turnCold makes a server cold without a sign to its clients.
 func (w *world) turnCold(v *modelServer) {
-	v.served = 0
-	v.full = 0
-	v.shown = 0
+	v.turnCold(w.now)
 }
