back: retire a connection whose answer belongs to another request

Cause: the answer of a crossed connection was found not to match, but the connection went back to its pool first. Each later answer on it was one late and so invalid, and a late "not run" could have been taken for the fate of another order. Change: the connection of an answer is kept only after the answer has been matched. Result: TestCrossedConnectionIsRetired fails when a mismatched connection goes back to the pool and passes now.

--- a/back/cancel.go
+++ b/back/cancel.go
@@ -39,7 +39,9 @@
 		return
 	}
 	var r Result
+	s.pool = p
 	k.exchange(context.Background(), p, v, s, &r)
+	s.settle(&r)
 	if c.raw.SetDeadline(deadline) != nil {
 		p.retire(c)
 		return
--- a/back/client.go
+++ b/back/client.go
@@ -183,6 +183,7 @@
 	defer k.keep(s)
 	a := wire.ShardAnswer{Hits: make([]wire.Hit, 0, max(0, min(q.TopK, maxHits)))}
 	r := k.send(ctx, server, deadline, request{path: "/shard", id: q.RequestID, shard: q.Shard, body: &q}, s)
+	defer func() { s.settle(&r) }()
 	if r.Class != OK || !decode(s.in.Bytes(), &a, &r) {
 		return wire.ShardAnswer{}, r
 	}
@@ -205,6 +206,7 @@
 	var a wire.BackendOrderAnswer
 	r := k.send(ctx, server, deadline,
 		request{path: "/order", id: o.Key, shard: o.Shard, body: &o, order: true}, s)
+	defer func() { s.settle(&r) }()
 	if r.Class != OK || !decode(s.in.Bytes(), &a, &r) {
 		return wire.BackendOrderAnswer{}, r
 	}
@@ -244,9 +246,14 @@
 	defer k.keep(s)
 	var h wire.Health
 	r := k.send(ctx, server, deadline, request{path: path}, s)
+	defer func() { s.settle(&r) }()
 	if r.Class != OK || !decode(s.in.Bytes(), &h, &r) {
 		return wire.Health{}, r
 	}
+	if h.State == "" {
+		r.fail(Invalid, "back: the answer has no state")
+		return wire.Health{}, r
+	}
 	r.Incarnation = h.Incarnation
 	r.Warm, r.Draining = h.State != wire.ServerCold, h.State == wire.ServerDraining
 	return h, r
--- a/back/client_test.go
+++ b/back/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -340,3 +341,30 @@
 		}
 	})
 }
+
+// Guards against a connection that stays in use behind an answer to another request. Its later
+// answers are one late, so a refusal as "not run" would be taken for the fate of the wrong order.
+func TestCrossedConnectionIsRetired(t *testing.T) {
+	is := is.New(t)
+	var last wire.ShardAnswer
+	address := listen(t, requests(func(n int, q *http.Request, c net.Conn) bool {
+		var body wire.ShardQuery
+		if json.NewDecoder(q.Body).Decode(&body) != nil {
+			return false
+		}
+		a := answerTo(body)
+		if n > 0 {
+			a, last = last, a
+			return reply(c, http.StatusOK, a)
+		}
+		last = a
+		return reply(c, http.StatusOK, a)
+	}))
+	k := NewClient(Config{})
+	defer k.Close()
+	k.SetServers([]Server{{Address: address}})
+	for i, want := range []Class{OK, Invalid, OK, Invalid} {
+		_, r := k.Query(t.Context(), address, time.Now().Add(time.Second), wire.ShardQuery{RequestID: fmt.Sprint(i), Shard: "s"})
+		is.Equal(r.Class, want)
+	}
+}
--- a/back/exchange.go
+++ b/back/exchange.go
@@ -42,6 +42,8 @@
 	until   [1]string
 	pool    *pool
 	sent    request
+	// conn is the connection of an answer that has not been matched with its request yet.
+	conn *conn
 }
 
 func newScratch() *scratch {
@@ -133,6 +135,21 @@
 	}
 }
 
+// settle keeps the connection of an answer that belongs to its request. Behind an answer to another
+// request every later answer on the connection would be one late, and a late "not run" would be
+// taken for the fate of the wrong order.
+func (s *scratch) settle(r *Result) {
+	c := s.conn
+	s.conn = nil
+	switch {
+	case c == nil:
+	case r.Class == OK:
+		s.pool.put(c)
+	default:
+		s.pool.retire(c)
+	}
+}
+
 func (k *Client) bootTime(q request) time.Duration {
 	if !q.order {
 		return 0
@@ -158,10 +175,13 @@
 	if err == nil {
 		c.served++
 		k.classify(status, s, r)
-		if reusable && stopped {
-			p.put(c)
-		} else {
+		switch {
+		case !reusable || !stopped || r.Class == Invalid:
 			p.retire(c)
+		case r.Class == OK:
+			s.conn = c
+		default:
+			p.put(c)
 		}
 		return false
 	}
