--- a/back/cancel.go
+++ b/back/cancel.go
@@ -11,16 +11,19 @@
 	return errors.Is(ctx.Err(), context.Canceled)
 }
 
-// cancel ends a request at the server. With an idle connection at hand it sends POST /cancel and
-// keeps the connection of the request, because the losers of hedges would otherwise cost a new
-// connection each. Without one it closes the connection, which cancels the request too.
+// cancel ends a request at the server and waits until it has ended there, at most for
+// CancelTimeout: a new request in its place would otherwise exceed what a cold server bears. With
+// an idle connection at hand it sends POST /cancel and keeps the connection of the request, because
+// the losers of hedges would otherwise cost a new connection each. Without one it closes the
+// connection, which cancels the request too.
 func (k *Client) cancel(p *pool, c *conn, q request) {
 	v := p.takeIdle()
 	if v == nil {
-		p.retire(c)
+		c.shutdown(k.config.CancelTimeout)
+		p.release()
 		return
 	}
-	go k.cancelOver(p, v, c, q)
+	k.cancelOver(p, v, c, q)
 }
 
 // cancelOver sends the cancellation over v and then waits for the end of the answer on c.
--- a/back/client.go
+++ b/back/client.go
@@ -242,7 +242,11 @@
 	defer k.keep(s)
 	var h wire.Health
 	r := k.send(ctx, server, deadline, request{
-		path: path, accept: func(b []byte, r *Result) { decode(b, &h, r) },
+		path: path, accept: func(b []byte, r *Result) {
+			if decode(b, &h, r) && h.State == "" {
+				r.fail(Invalid, "back: the answer has no state")
+			}
+		},
 	}, s)
 	if r.Class != OK {
 		return wire.Health{}, r
--- a/sched/types.go
+++ b/sched/types.go
@@ -63,6 +63,8 @@
 type Result struct {
 	Class  Class
 	Reason wire.BackendReason
+	// Local means that an Unsent attempt ended at this node and says nothing about the server.
+	Local bool
 	// Incarnation, Warm and Draining are what the answer says of the server; an empty
 	// Incarnation means that there was no answer.
 	Incarnation string
--- a/serve/certs_test.go
+++ b/serve/certs_test.go
@@ -78,7 +78,7 @@
 func TestFleetOverTLS(t *testing.T) {
 	is := is.New(t)
 	certificate, key := writePair(t, t.TempDir(), 1)
-	f := startFleetWith(t, stand.Layout{Shards: 2}, func(s *conf.Settings) {
+	f := startFleetSettings(t, stand.Layout{Shards: 2}, stand.ServerConfig{StartWarm: true}, func(s *conf.Settings) {
 		s.TLS = conf.TLS{Certificate: certificate, Key: key, CA: certificate}
 	}, "Lukang", "Yilan", "Chiayi")
 	pool, err := LoadPool(certificate)
