fleet: keep lease items of different kinds apart, let unreached claimants give up

Cause: a seat that gave way to a better claimant collected its releases in the buffer of the answers, so they were sent as promises. A first seat that reaches the other seats but does not hear them kept their promises and left the slice without a holder. Change: claims, answers and releases have their own buffers. A claimant whose claims are not answered by a majority of the seats marks them weak and gives up after four. Home knows the holder that a seat has named. The simulation starts nodes with equal round numbers, prunes the list of VMs and moves seats by documents. Without the new rule TestClaimantWithBrokenLinks fails.

--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -160,6 +160,7 @@
 		return
 	}
 	n.nextProbe = n.now.Add(probeEvery)
+	n.contacts = slices.DeleteFunc(n.contacts, func(a netip.AddrPort) bool { return n.table.records[a] != nil })
 	count := len(n.table.lost) + len(n.contacts)
 	if count == 0 {
 		return
--- a/fleet/fault_test.go
+++ b/fleet/fault_test.go
@@ -24,6 +24,7 @@
 	faultLeave     faultKind = "leave"
 	faultDomain    faultKind = "domain"
 	faultConfig    faultKind = "config"
+	faultReshape   faultKind = "reshape"
 )
 
 // fault lasts from At for the time For. Node and Sides choose the nodes concerned. Stale gives a
@@ -154,10 +155,13 @@
 			}
 		})
 	case faultDomain:
-		s.change(f, map[string]bool{simDomain(a): true})
-		s.at(over, func() { s.change(f, nil) })
+		s.change(f, map[string]bool{simDomain(a): true}, false)
+		s.at(over, func() { s.change(f, nil, false) })
 	case faultConfig:
-		s.change(f, nil)
+		s.change(f, nil, false)
+	case faultReshape:
+		s.change(f, nil, true)
+		s.at(over, func() { s.change(f, nil, false) })
 	}
 }
 
@@ -259,8 +263,8 @@
 }
 
 // change publishes a document and gives it to one node.
-func (s *sim) change(f fault, out map[string]bool) {
-	d := s.publish(out)
+func (s *sim) change(f fault, out map[string]bool, reshaped bool) {
+	d := s.publish(out, reshaped)
 	for i := range s.addresses() {
 		a := s.addresses()[(f.Node+i)%len(s.addresses())]
 		if p := s.byAddr[a]; !p.dead && !p.paused {
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -31,12 +31,26 @@
 	// renewedAt is when the claim that gave the present lease was sent.
 	renewedAt time.Time
 	nextClaim time.Time
-	// rival is the holder that a seat named in its last denial.
-	rival netip.AddrPort
+	// answers are the seats that answered the last claim, unreached counts the claims in a row that
+	// fewer than a majority answered.
+	answers   []netip.AddrPort
+	unreached int
+	// rival is the holder that a seat named in a denial, rivalAt is when it did.
+	rival   netip.AddrPort
+	rivalAt time.Time
 	// betterAt is when a better claimant last claimed the slice that this node holds.
 	betterAt time.Time
 }
 
+// Waiting times of claimants.
+const (
+	// unreachedLimit is the number of claims without answers from a majority of the seats after which
+	// a claimant gives up for unreachedWait, so that one with broken links does not bind the seats that
+	// it reaches.
+	unreachedLimit = 4
+	unreachedWait  = 5 * time.Second
+)
+
 // betterWindow is how long a claim of a better claimant keeps the holder draining. The claimant
 // repeats its claim every RenewEvery.
 const betterWindow = 3 * RenewEvery
@@ -92,7 +106,7 @@
 		}
 		n.claim(l)
 	}
-	n.sendBatch(KindClaim)
+	n.sendBatch(&n.claims, KindClaim)
 }
 
 // mayClaim reports whether this node is the claimant of the slice: the first seat, or a lower one
@@ -113,7 +127,10 @@
 
 // claim asks all seats for a promise.
 func (n *Node) claim(l *lease) {
-	if n.batch.empty() {
+	if !n.reaches(l) {
+		return
+	}
+	if n.claims.empty() {
 		n.round++
 	}
 	l.round, l.sentAt, l.nextClaim = n.round, n.now, n.now.Add(RenewEvery)
@@ -126,25 +143,59 @@
 			l.asked = append(l.asked, r.Address)
 		}
 	}
-	if l.rival.IsValid() && !slices.Contains(l.asked, l.rival) && !l.held {
+	if n.knowsRival(l) && !slices.Contains(l.asked, l.rival) && !l.held {
 		// The holder may have no seat any more; it has to hear of the better claimant.
-		n.batch.add(l.rival, item, l.slot.size)
+		n.claims.add(l.rival, item, l.slot.size)
 	}
-	l.rival = netip.AddrPort{}
 	for _, a := range l.asked {
 		if a != n.self.Address {
-			n.batch.add(a, item, l.slot.size)
+			n.claims.add(a, item, l.slot.size)
 			continue
 		}
+		l.answered(a)
 		if answer, ok := n.promise(l, claimant{a, n.self.Incarnation}, item); ok {
 			n.vote(l, a, answer.Provisional)
 		}
 	}
 }
 
-// isWeak reports whether this node's own seat abstains from promising it the slice.
+// reaches counts the answers to the last claim. It returns false when the claimant has given up
+// because too few seats answer.
+func (n *Node) reaches(l *lease) bool {
+	answers := len(l.answers)
+	l.answers = l.answers[:0]
+	if l.round == 0 {
+		return true
+	}
+	if answers >= n.rules.quorum(l.slot.seats) {
+		l.unreached = 0
+		return true
+	}
+	if l.unreached++; l.held || l.unreached < unreachedLimit {
+		return true
+	}
+	n.giveUp(l)
+	n.sendBatch(&n.releases, KindRelease)
+	l.nextClaim = n.now.Add(unreachedWait)
+	return false
+}
+
+// knowsRival reports whether a seat has lately named another holder.
+func (n *Node) knowsRival(l *lease) bool {
+	return l.rival.IsValid() && n.now.Sub(l.rivalAt) <= betterWindow
+}
+
+// isWeak reports whether the claimant may be unable to get the lease: its own seat abstains, or the
+// last claim was not answered by a majority of the seats.
 func (n *Node) isWeak(l *lease) bool {
-	return !n.now.Before(l.expires) && n.abstains(l, false)
+	return l.unreached > 0 || !n.now.Before(l.expires) && n.abstains(l, false)
+}
+
+// answered counts an answer to the last claim, whichever it is.
+func (l *lease) answered(from netip.AddrPort) {
+	if slices.Contains(l.asked, from) && !slices.Contains(l.answers, from) {
+		l.answers = append(l.answers, from)
+	}
 }
 
 // vote counts a promise and takes the lease when a majority of the seats has promised firmly, or
@@ -186,6 +237,7 @@
 	for _, it := range m.Leases {
 		l := n.leases[sliceKey{it.Service, it.Slice}]
 		if l != nil && l.round == it.Round && l.round != 0 {
+			l.answered(from)
 			n.vote(l, from, it.Provisional)
 		}
 	}
@@ -193,15 +245,16 @@
 
 // denied handles refused claims. A lower seat gives way to the claimant that the seat has promised
 // the slice; the first seat tries again when the promise expires.
-func (n *Node) denied(_ netip.AddrPort, m Message) {
+func (n *Node) denied(from netip.AddrPort, m Message) {
 	for _, it := range m.Leases {
 		l := n.leases[sliceKey{it.Service, it.Slice}]
 		if l == nil || l.slot == nil || l.held || l.round != it.Round || l.round == 0 {
 			continue
 		}
+		l.answered(from)
 		left := time.Duration(it.Left) * time.Millisecond
 		if it.Holder.IsValid() && it.Holder != n.self.Address {
-			l.rival = it.Holder
+			l.rival, l.rivalAt = it.Holder, n.now
 		}
 		if l.slot.first() == n.self {
 			if it.Left > 0 && left < RenewEvery {
@@ -214,7 +267,7 @@
 			l.idleSince = later(l.idleSince, n.now.Add(left))
 		}
 	}
-	n.sendBatch(KindRelease)
+	n.sendBatch(&n.releases, KindRelease)
 }
 
 // giveUp cancels a claim that was not granted and frees the seats that promised.
@@ -222,7 +275,7 @@
 	item := LeaseItem{Service: l.service, Slice: l.slice, Round: l.round}
 	for _, a := range l.asked {
 		if a != n.self.Address {
-			n.batch.add(a, item, l.slot.size)
+			n.releases.add(a, item, l.slot.size)
 		}
 	}
 	if l.to == (claimant{n.self.Address, n.self.Incarnation}) {
@@ -241,13 +294,13 @@
 	item := LeaseItem{Service: service, Slice: slice, Round: l.round, Held: true}
 	for _, a := range l.asked {
 		if a != n.self.Address {
-			n.batch.add(a, item, jsonSize(service))
+			n.releases.add(a, item, jsonSize(service))
 		}
 	}
 	n.free(l, claimant{n.self.Address, n.self.Incarnation}, item)
 	n.lose(l)
 	l.nextClaim = n.now.Add(LeaseTime)
-	n.sendBatch(KindRelease)
+	n.sendBatch(&n.releases, KindRelease)
 	return n.take()
 }
 
@@ -290,10 +343,10 @@
 }
 
 // sendBatch sends the collected items in as few messages as they fit in.
-func (n *Node) sendBatch(k Kind) {
-	for _, to := range n.batch.to {
+func (n *Node) sendBatch(b *batch, k Kind) {
+	for _, to := range b.to {
 		m, room := n.message(k), MaxMessage-envelopeSize
-		for _, it := range n.batch.items[to] {
+		for _, it := range b.items[to] {
 			if it.size > room && len(m.Leases) > 0 {
 				n.send(to, m)
 				m, room = n.message(k), MaxMessage-envelopeSize
@@ -302,11 +355,11 @@
 			m.Leases = append(m.Leases, it.LeaseItem)
 		}
 		n.send(to, m)
-		n.batch.items[to] = n.batch.items[to][:0]
+		b.items[to] = b.items[to][:0]
 	}
-	n.batch.to = n.batch.to[:0]
-	if len(n.batch.items) > batchLimit {
-		n.batch.items = nil
+	b.to = b.to[:0]
+	if len(b.items) > batchLimit {
+		b.items = nil
 	}
 }
 
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -46,7 +46,6 @@
 		}
 		return false
 	}
-	n.contacts = slices.DeleteFunc(n.contacts, func(a netip.AddrPort) bool { return a == u.Address })
 	n.view.setMember(r, r.isSeat())
 	n.edgesStale = true
 	if before != r.State {
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -53,7 +53,10 @@
 	// order lists the leases in a fixed order, so that the same input gives the same output.
 	order []*lease
 	round uint64
-	batch batch
+	// claims, answers and releases collect lease items by destination, each kind by itself.
+	claims   batch
+	answers  batch
+	releases batch
 
 	vms       map[netip.AddrPort]wire.VMState
 	contacts  []netip.AddrPort
--- a/fleet/property_test.go
+++ b/fleet/property_test.go
@@ -42,6 +42,18 @@
 	})
 }
 
+// Documents that move the seats of a slice to other domains must not give it two holders. A
+// partition is left out: nodes behind it keep the seats of the older document.
+func TestPropertyReshape(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := planOf(faultReshape, faultReplace, faultPause, faultLeave).Draw(t, "plan")
+		s := runPlan(p, defaultRules())
+		if s.found != nil {
+			t.Fatalf("%s: %s\n%s", s.found.invariant, s.found.detail, strings.Join(s.trace, "\n"))
+		}
+	})
+}
+
 // One broken link, in one or both directions, must take no member down.
 func TestPropertyOneLink(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/fleet/query.go
+++ b/fleet/query.go
@@ -6,8 +6,9 @@
 )
 
 // Home returns the member to ask for the slice: this node when it holds the lease, the claimant
-// to which this node's seat has promised the slice, or the first seat. It returns false when the
-// slice is unknown or none of its seats has a member in a domain that is in.
+// to which this node's seat has promised the slice, the holder that another seat has named, or the
+// first seat. It returns false when the slice is unknown or none of its seats has a member in a
+// domain that is in.
 func (n *Node) Home(now time.Time, service string, slice int) (Member, bool) {
 	if _, ok := n.Lease(now, service, slice); ok {
 		return n.self.Member, true
@@ -18,6 +19,11 @@
 			return r.Member, true
 		}
 	}
+	if l := n.leases[key]; l != nil && n.knowsRival(l) {
+		if r := n.table.records[l.rival]; r != nil && r.isUp() {
+			return r.Member, true
+		}
+	}
 	s := n.view.slots[key]
 	if s == nil {
 		return Member{}, false
--- a/fleet/seat.go
+++ b/fleet/seat.go
@@ -123,16 +123,16 @@
 	for _, m := range []*Message{granted, refused} {
 		n.sendSplit(from, m)
 	}
-	n.sendBatch(KindRelease)
+	n.sendBatch(&n.releases, KindRelease)
 }
 
 // sendSplit sends the message in parts when its answers are longer than the claims were.
 func (n *Node) sendSplit(to netip.AddrPort, m *Message) {
 	for _, it := range m.Leases {
-		n.batch.add(to, it, n.nameSize(it.Service, it.Slice))
+		n.answers.add(to, it, n.nameSize(it.Service, it.Slice))
 	}
 	if len(m.Leases) > 0 {
-		n.sendBatch(m.Kind)
+		n.sendBatch(&n.answers, m.Kind)
 	}
 }
 
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -118,14 +118,20 @@
 		docs: make(map[uint64]*conf.Document), blocked: make(map[[2]netip.AddrPort]int),
 		rights: make(map[sliceKey]map[*proc]right),
 	}
-	s.publish(nil)
+	s.publish(nil, false)
 	for i := range simNodes {
 		s.start(simAddress(i), s.latest)
 	}
-	s.listVMs()
+	s.keepListing()
 	return s
 }
 
+// keepListing gives out the platform's list every few seconds, as each node fetches it.
+func (s *sim) keepListing() {
+	s.listVMs()
+	s.at(s.now+5*time.Second, s.keepListing)
+}
+
 func simAddress(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
 }
@@ -135,7 +141,7 @@
 }
 
 // publish adds the next document to the platform.
-func (s *sim) publish(out map[string]bool) *conf.Document {
+func (s *sim) publish(out map[string]bool, reshaped bool) *conf.Document {
 	s.latest++
 	d := &conf.Document{Version: s.latest}
 	for i := range simDomains {
@@ -147,6 +153,9 @@
 	}
 	for i := range simServices {
 		d.Services = append(d.Services, conf.Service{Name: fmt.Sprint("s", i)})
+		if i == 0 && reshaped {
+			d.Services[i].HomeDomains = []string{"d0", "d1"}
+		}
 	}
 	s.docs[s.latest] = d
 	return d
@@ -165,7 +174,8 @@
 func (s *sim) start(a netip.AddrPort, version uint64) {
 	p := &proc{
 		id: len(s.procs), address: a, rate: 1 + simDrift*(2*s.rng.Float64()-1),
-		offset: time.Duration(s.rng.IntN(50)) * time.Millisecond, draining: make(map[sliceKey]bool),
+		// Close starts give claims of different nodes equal round numbers.
+		offset: time.Duration(s.rng.IntN(5)) * time.Millisecond, draining: make(map[sliceKey]bool),
 	}
 	now := p.local(s.now)
 	p.node = newNode(Config{
@@ -214,7 +224,7 @@
 		}
 	}
 	for _, p := range s.procs {
-		if !p.dead {
+		if !p.dead && !p.paused {
 			s.carryOut(p, p.node.SetVMs(p.local(s.now), vms))
 		}
 	}
--- /dev/null
+++ b/fleet/timing_test.go
@@ -0,0 +1,105 @@
+package fleet
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// holder returns the process that may use the slice now, or nil.
+func (s *sim) holder(key sliceKey) *proc {
+	for _, p := range s.procs {
+		if _, ok := p.node.Lease(p.local(s.now), key.service, key.slice); ok && !p.dead {
+			return p
+		}
+	}
+	return nil
+}
+
+// without returns for how long the slice has no holder within the given time.
+func (s *sim) without(key sliceKey, d time.Duration) (gap time.Duration) {
+	const step = 10 * time.Millisecond
+	for end := s.now + d; s.now < end; {
+		s.run(s.now + step)
+		if s.holder(key) == nil {
+			gap += step
+		}
+	}
+	return gap
+}
+
+// A crashed holder must be replaced in about 3 s, a planned move must leave no gap worth the name,
+// and a domain that is taken out must hold no lease after 2 s.
+func TestTimeWithoutHolder(t *testing.T) {
+	is := is.New(t)
+	key := sliceKey{"s0", 0}
+	worst := make(map[faultKind]time.Duration)
+	for seed := range uint64(20) {
+		for _, kind := range []faultKind{faultReplace, faultLeave, faultDomain} {
+			s := newSim(seed, defaultRules())
+			s.run(simWarmUp + time.Duration(seed)*37*time.Millisecond)
+			p := s.holder(key)
+			began := s.now
+			s.inject(fault{Kind: kind, For: time.Hour, Node: int(p.address.Addr().As4()[3])})
+			gap := s.without(key, 2*time.Second)
+			if kind != faultReplace {
+				is.True(s.holder(key) != nil)
+				is.True(simDomain(s.holder(key).address) != simDomain(p.address) || kind == faultLeave)
+				is.True(s.now-began <= 2*time.Second)
+			}
+			worst[kind] = max(worst[kind], gap+s.without(key, 20*time.Second))
+			is.True(s.found == nil)
+		}
+	}
+	t.Logf("longest time without a holder: %v", worst)
+	is.True(worst[faultReplace] <= 3*time.Second)
+	is.True(worst[faultLeave] <= 500*time.Millisecond)
+	is.True(worst[faultDomain] <= 500*time.Millisecond)
+}
+
+// A document must reach all of 9 nodes within 2 s while a tenth of all messages is lost.
+func TestDocumentReachesAll(t *testing.T) {
+	is := is.New(t)
+	var worst time.Duration
+	for seed := range uint64(20) {
+		s := newSim(seed, defaultRules())
+		s.run(simWarmUp)
+		s.drop = 0.1
+		began := s.now
+		s.change(fault{Node: int(seed) % simNodes}, nil, false)
+		for behind := simNodes; behind > 0 && s.now-began < 10*time.Second; {
+			s.run(s.now + 10*time.Millisecond)
+			behind = 0
+			for _, p := range s.procs {
+				if p.version < s.latest {
+					behind++
+				}
+			}
+		}
+		worst = max(worst, s.now-began)
+	}
+	t.Logf("slowest: %s", worst)
+	is.True(worst <= 2*time.Second)
+}
+
+// A first seat that reaches one of the others, but hears neither of them, must not keep the slice
+// from a node that can hold it.
+func TestClaimantWithBrokenLinks(t *testing.T) {
+	is := is.New(t)
+	key := sliceKey{"s0", 0}
+	for seed := range uint64(20) {
+		s := newSim(seed, defaultRules())
+		s.run(simWarmUp)
+		p := s.holder(key)
+		seats := p.node.Seats(key.service, key.slice)
+		for _, m := range seats[1:] {
+			s.block(time.Hour, [2]netip.AddrPort{m.Address, p.address})
+		}
+		s.block(time.Hour, [2]netip.AddrPort{p.address, seats[2].Address})
+		s.run(s.now + 20*time.Second)
+		is.True(s.without(key, 60*time.Second) <= 6*time.Second) // nine tenths of the time
+		is.True(s.found == nil)
+	}
+}
