fleet: freeze seats whose number a document changes

Cause: a document that lowers the number of seats of a slice makes one seat a majority, while nodes with the older document still form another one. Change: a seat whose slice has another number of seats than before promises nothing, not even its holder, for the time in which a document reaches all nodes. A broken variant checks that new seats abstain. peer tests check for leaked goroutines.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -70,6 +70,9 @@
 		n.leases[s.sliceKey] = l
 		n.order = append(n.order, l)
 	}
+	if reshaped && l.slot != nil && l.slot.seats != s.seats {
+		l.frozenUntil = n.now.Add(n.rules.documentAbstention)
+	}
 	l.slot = s
 	if len(s.groups) == 0 {
 		l.slot = nil
--- a/fleet/property_test.go
+++ b/fleet/property_test.go
@@ -94,6 +94,9 @@
 		{"a promise of a seat taken over counts in full", oneHolder, []faultKind{faultPartition}, false, func(r *rules) {
 			r.provisionalTime = 0
 		}},
+		{"new seats promise at once", oneHolder, []faultKind{faultReshape, faultPause, faultLoss, faultLink}, false, func(r *rules) {
+			r.documentAbstention, r.seatAbstention = 0, 0
+		}},
 		{"any document is accepted", noReversal, []faultKind{faultConfig, faultPartition, faultDelay}, false, func(r *rules) {
 			r.accepts = func(uint64, uint64) bool { return true }
 		}},
--- a/fleet/seat.go
+++ b/fleet/seat.go
@@ -24,6 +24,9 @@
 	// strictUntil bounds the time in which it promises nobody the slice, because nodes with an older
 	// document may ask other seats.
 	strictUntil time.Time
+	// frozenUntil bounds the time in which it does not even renew a promise, because another document
+	// has changed the number of seats and so the majority.
+	frozenUntil time.Time
 	// idleSince is since when the slice has had no holder as far as the seat knows.
 	idleSince time.Time
 }
@@ -47,7 +50,7 @@
 // promise decides on a claim. The item is the answer to a claimant that is refused.
 func (n *Node) promise(l *lease, c claimant, it LeaseItem) (LeaseItem, bool) {
 	deny := LeaseItem{Service: it.Service, Slice: it.Slice, Round: it.Round}
-	if l == nil || l.seat < 0 {
+	if l == nil || l.seat < 0 || n.now.Before(l.frozenUntil) {
 		return deny, false
 	}
 	current := n.now.Before(l.expires)
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -156,6 +156,9 @@
 		if i == 0 && reshaped {
 			d.Services[i].HomeDomains = []string{"d0", "d1"}
 		}
+		if i == 1 && reshaped {
+			d.Services[i].HomeSeats = 1
+		}
 	}
 	s.docs[s.latest] = d
 	return d
--- a/peer/datagram_test.go
+++ b/peer/datagram_test.go
@@ -141,3 +141,21 @@
 		n.Tick(time.Unix(3, 0))
 	})
 }
+
+// BenchmarkDatagram is one message sealed, opened and checked.
+func BenchmarkDatagram(b *testing.B) {
+	m := &fleet.Message{
+		Kind: fleet.KindClaim, Incarnation: 1_800_000_000_000_000_000, Version: 100_000, Hash: "01234567",
+		Leases: []fleet.LeaseItem{{Service: "workshop-ledger-1", Slice: 1, Round: 1e12, Held: true}},
+	}
+	b.ReportAllocs()
+	for range b.N {
+		d, err := sealDatagram(testKey, alice, bob, m)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := openDatagram([][]byte{testKey}, alice, bob, d); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/peer/http_test.go
+++ b/peer/http_test.go
@@ -18,8 +18,12 @@
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"go.uber.org/goleak"
 )
 
+// Sockets and goroutines of a node must end with it.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func soon() time.Time { return time.Now().Add(5 * time.Second) }
 
 // failure returns the typed failure that every error of the client must be.
