fleet: name the round of lease items once a message

Cause: at today's size, with 9 nodes and 52 slices, most bytes of control messages are lease items. Change: a message carries the round that its items share.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -355,6 +355,12 @@
 				m, room = n.message(k), MaxMessage-envelopeSize
 			}
 			room -= it.size
+			if len(m.Leases) == 0 {
+				m.Round = it.Round
+			}
+			if it.Round == m.Round {
+				it.Round = 0
+			}
 			m.Leases = append(m.Leases, it.LeaseItem)
 		}
 		n.send(to, m)
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -33,18 +34,31 @@
 	Version uint64 `json:"Version,omitempty"`
 	Hash    string `json:"Hash,omitempty"`
 	// Digest covers the members that are not Down, and the notes. It is set in Heartbeat and Ack.
-	Digest  uint32      `json:"Digest,omitempty"`
+	Digest uint32 `json:"Digest,omitempty"`
+	// Round is that of the lease items which name none.
+	Round   uint64      `json:"Round,omitempty"`
 	Leases  []LeaseItem `json:"Leases,omitempty"`
 	Updates []Update    `json:"Updates,omitempty"`
 	Notes   []Note      `json:"Notes,omitempty"`
 }
 
+// items returns the lease items with their rounds.
+func (m *Message) items() []LeaseItem {
+	items := slices.Clone(m.Leases)
+	for i := range items {
+		if items[i].Round == 0 {
+			items[i].Round = m.Round
+		}
+	}
+	return items
+}
+
 // LeaseItem is the part of a Claim, Promise, Deny or Release that concerns one slice.
 type LeaseItem struct {
 	Service string `json:"Service"`
 	Slice   int    `json:"Slice,omitempty"`
 	// Round numbers the claims of a claimant. Answers repeat it.
-	Round uint64 `json:"Round"`
+	Round uint64 `json:"Round,omitempty"`
 	// Held in a Claim means that the claimant holds the lease and renews it.
 	Held bool `json:"Held,omitempty"`
 	// Weak in a Claim means that the claimant's own seat does not promise it the slice yet.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -102,6 +102,7 @@
 		return n.take()
 	}
 	n.hearConfig(from, m)
+	m.Leases = m.items()
 	for _, u := range m.Updates {
 		n.update(from, u, true)
 	}
--- a/fleet/spread.go
+++ b/fleet/spread.go
@@ -13,7 +13,7 @@
 	// edgeBacklog is the number of recent items that a new edge is sent.
 	edgeBacklog = 32
 	// envelopeSize is the most bytes that the fields of a message other than its lists take.
-	envelopeSize = 210
+	envelopeSize = 240
 )
 
 // logItem is one update or note to be flooded.
