--- a/peer/http_test.go
+++ b/peer/http_test.go
@@ -314,3 +314,26 @@
 	is.True(f.NotRun)
 	is.True(f.Forwarded)
 }
+
+// A write that the transport begins after its request was given up must not reach the peer, since
+// the request may have been reported as not sent.
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	is := is.New(t)
+	got := make(chan []byte, 1)
+	to := accept(t, func(_ int, c net.Conn) {
+		b, _ := io.ReadAll(c)
+		got <- b
+	})
+	k := testClient(t, nil)
+	raw, err := k.pool.dial(t.Context(), "tcp", to.String())
+	is.NoErr(err)
+	c := unwrap(raw)
+	_, err = c.Write([]byte("before"))
+	is.NoErr(err)
+	is.Equal(c.seal(), int64(6))
+	_, err = c.Write([]byte("after"))
+	is.True(errors.Is(err, errSealed))
+	is.NoErr(c.Close())
+	is.Equal(string(<-got), "before")
+	is.Equal(len(k.pool.open), 0)
+}
