fleet: check that a slice without a home is noticed

Cause: the check that each slice has a home after the faults had no broken variant. Change: a variant in which leases end before they begin. Result: it is caught in the first plans; go test ./fleet ./peer passes.

--- a/fleet/property_test.go
+++ b/fleet/property_test.go
@@ -111,6 +111,9 @@
 		{"one observer takes a member down", linkNotDown, []faultKind{faultLink}, true, func(r *rules) {
 			r.observers, r.refuteTime = 1, 0
 		}},
+		{"a lease ends before it begins", served, []faultKind{faultPause}, false, func(r *rules) {
+			r.holderTime = 0
+		}},
 		{"tables are never fetched", converges, []faultKind{faultPartition, faultLoss, faultReplace}, false, func(r *rules) {
 			r.digestStreak = 1 << 30
 		}},
