route: compute quantiles once for each share of new samples

Cause: a profile of the tail case spends 22% in merging histograms: every decision while the count of samples was a multiple of 25 merged them again. Change: the merge and its quantiles are kept until a sixteenth of the samples is new.

--- a/route/latency.go
+++ b/route/latency.go
@@ -18,6 +18,8 @@
 	windowSamples = 4096
 	// minSamples is the fewest samples from which a quantile is taken.
 	minSamples = 50
+	// mergeShare is the part of the samples after which quantiles are computed again.
+	mergeShare = 16
 )
 
 // Average is an exponentially weighted moving average of latencies.
@@ -43,8 +45,16 @@
 type Distribution struct {
 	windows *hdr.WindowedHistogram
 	merged  *hdr.Histogram
-	added   int
-	total   int
+	// known holds quantiles of merged that were asked for.
+	known []quantile
+	added int
+	fresh int
+	total int
+}
+
+type quantile struct {
+	share float64
+	value time.Duration
 }
 
 // NewDistribution returns an empty distribution.
@@ -60,6 +70,7 @@
 	// The value is within the histogram's range, so recording cannot fail.
 	_ = d.windows.Current.RecordValue(us)
 	d.added++
+	d.fresh++
 	d.total++
 	if d.added >= windowSamples/2 {
 		d.windows.Rotate()
@@ -76,8 +87,17 @@
 	}
 	// Merging the windows costs more than a decision may, so the result is kept until enough
 	// samples have come in to change it.
-	if d.merged == nil || d.added%(minSamples/2) == 0 {
+	if d.merged == nil || d.fresh >= min(d.total, windowSamples)/mergeShare {
 		d.merged = d.windows.Merge()
+		d.known = d.known[:0]
+		d.fresh = 0
+	}
+	for _, k := range d.known {
+		if k.share == q {
+			return k.value, true
+		}
 	}
-	return time.Duration(d.merged.ValueAtQuantile(q*100)) * time.Microsecond, true
+	v := time.Duration(d.merged.ValueAtQuantile(q*100)) * time.Microsecond
+	d.known = append(d.known, quantile{q, v})
+	return v, true
 }
