--- a/sched/hedge.go
+++ b/sched/hedge.go
@@ -33,7 +33,7 @@
 // hedge sends a second attempt when it is due, the budget allows it and a warm replica has a free
 // permit. A canary must run nowhere else until it has succeeded.
 func (s *Slice) hedge(now time.Time, t *task, out *Actions) {
-	if !t.open || t.job.ended || t.hedged || t == t.job.canary || t.inFlight() != 1 {
+	if !t.open || t.job.ended || t.hedged || t == t.job.canary || t.inFlight() != 1 || !now.Before(s.sendLimit()) {
 		return
 	}
 	due := s.hedgeDue(now, t)
