trial: record, read and replay traces

Cause: policies were measured on seeded arrivals only. Change: a record for each finished request as a line of JSON, a recorder for concurrent use, a reader that refuses faulty records, and a replay against the models of a case that compares outcomes. The random test of sched found a retry sent to the server whose cancelled attempt had not ended, where a late cancellation would end both; such a server is now left out.

--- a/sched/send.go
+++ b/sched/send.go
@@ -49,7 +49,8 @@
 
 // candidates collects the replicas with a free permit in s.cands and s.places, and returns how
 // many replicas are usable at all. Servers that failed this task, and ejected ones, are left out
-// unless nothing else is left. A hedge goes neither to a cold server nor to one in use for it.
+// unless nothing else is left. A hedge does not go to a cold server. No server gets the task while an
+// earlier attempt there has not ended, because a late cancellation would end both.
 func (s *Slice) candidates(now time.Time, t *task, hedge bool) int {
 	usable, preferred := 0, 0
 	for _, a := range t.Servers {
@@ -71,7 +72,7 @@
 		if (preferred > 0 || hedge) && !s.preferred(now, t, v) {
 			continue
 		}
-		if !s.free(now, t, v) || (hedge && (v.permits.Cold() || t.runsOn(v))) {
+		if !s.free(now, t, v) || t.runsOn(v) || (hedge && v.permits.Cold()) {
 			continue
 		}
 		s.cands = append(s.cands, route.Candidate{
--- a/trial/result.go
+++ b/trial/result.go
@@ -85,23 +85,25 @@
 	}
 }
 
-func (r *Result) add(w *world, q *request, f sched.Finished) {
+// add includes the end of a request and reports whether it was answered.
+func (r *Result) add(w *world, q *request, f sched.Finished) bool {
+	asked := q.shards
+	covered := asked - len(f.Missing)
+	answered := f.Failure == nil && float64(covered) >= q.kind.MinCoverage*float64(asked)
 	if q.arrived < r.warmup || q.poison {
-		return
+		return answered
 	}
 	k := r.Kinds[q.kind.Name]
 	k.Sent++
-	asked := q.shards
 	r.wanted += asked
 	r.offered += q.kind.Worth
 	if q.moving {
 		r.moveOffered += q.kind.Worth
 	}
-	covered := asked - len(f.Missing)
-	if f.Failure != nil || float64(covered) < q.kind.MinCoverage*float64(asked) {
+	if !answered {
 		k.Refused++
 		r.Kinds[q.kind.Name] = k
-		return
+		return false
 	}
 	k.Answered++
 	r.Kinds[q.kind.Name] = k
@@ -117,6 +119,7 @@
 	if q.ideal > 0 {
 		_ = r.ideals.RecordValue(q.ideal.Microseconds())
 	}
+	return true
 }
 
 func (r *Result) close(w *world) {
@@ -151,6 +154,13 @@
 	return newWorld(c, p, seed).run()
 }
 
+// RunRecorded is Run with a trace of each finished request.
+func RunRecorded(c Case, p Policy, seed uint64, r *Recorder) Result {
+	w := newWorld(c, p, seed)
+	w.recorder = r
+	return w.run()
+}
+
 func formatFactor(f float64) string {
 	return fmt.Sprintf("%gx", f)
 }
--- a/trial/world.go
+++ b/trial/world.go
@@ -32,6 +32,9 @@
 	result  Result
 	unused  map[netip.AddrPort]string
 	flights map[flightKey]*flight
+	// replayed is what became of each request; nil unless a trace is replayed.
+	replayed []replayed
+	recorder *Recorder
 	// returned is the time at which a failure domain last came back.
 	returned time.Duration
 }
@@ -52,6 +55,10 @@
 	poison  bool
 	ideal   time.Duration
 	shards  int
+	sends   int
+	print   guard.Fingerprint
+	// place is the index in a replayed trace.
+	place int
 	// moving means that it arrived while a failure domain moved.
 	moving bool
 }
@@ -147,7 +154,13 @@
 }
 
 func (w *world) submit(k *Kind, id string, poison bool) {
-	r := &request{id: id, kind: k, arrived: w.now, poison: poison}
+	fp := guard.FingerprintOf("trial", k.Name, id)
+	w.submitRequest(&request{id: id, kind: k, arrived: w.now, poison: poison}, fp)
+}
+
+func (w *world) submitRequest(r *request, fp guard.Fingerprint) {
+	r.print = fp
+	k := r.kind
 	s := w.senders[w.rand.IntN(len(w.senders))]
 	tasks := w.tasks
 	if !k.Idempotent {
@@ -158,10 +171,9 @@
 	if k.Idempotent && w.setup.Ideal {
 		r.ideal = w.ideal(r, tasks)
 	}
-	fp := guard.FingerprintOf("trial", k.Name, id)
 	job, out := s.slice.Submit(w.time(), sched.Request{
-		RequestID: id, Kind: k.Name, Worth: k.Worth, Deadline: w.time().Add(k.Timeout),
-		Idempotent: k.Idempotent, Fingerprint: fp, Proven: w.setup.Proven && !poison, Tasks: tasks,
+		RequestID: r.id, Kind: k.Name, Worth: k.Worth, Deadline: w.time().Add(k.Timeout),
+		Idempotent: k.Idempotent, Fingerprint: fp, Proven: w.setup.Proven && !r.poison, Tasks: tasks,
 	})
 	s.jobs[job] = r
 	w.carryOut(s, out)
@@ -227,11 +239,15 @@
 func (w *world) record(s *sender, f sched.Finished) {
 	r := s.jobs[f.Job]
 	delete(s.jobs, f.Job)
-	w.result.add(w, r, f)
+	answered := w.result.add(w, r, f)
+	w.note(r, answered, f.Failure)
 }
 
 func (w *world) send(s *sender, v sched.Send) {
 	w.result.sent(v)
+	if r := s.jobs[v.Job]; r != nil {
+		r.sends++
+	}
 	key := flightKey{sender: s.id, attempt: v.Attempt}
 	server := w.servers[v.Server]
 	server.received++
