--- a/limit/warming.go
+++ b/limit/warming.go
@@ -7,9 +7,11 @@
 	firstAnswers = 4
 	// recentWeight is the weight of a new answer in the recent latency of a cold phase.
 	recentWeight = 0.25
-	// latencySlack is the noise of the progress by latency. Progress by the number of answers may be
-	// ahead of it by this much. At half of it cold servers got more than they bear.
+	// latencySlack is how far the progress by the number of answers may be ahead of that by latency.
 	latencySlack = 0.2
+	// latencyMargin is taken from the progress by latency when it stands alone, for its noise. At 0.2 and
+	// 0.35 some cold servers got more than they bore, at 0.5 none in 120 cold starts.
+	latencyMargin = 0.5
 )
 
 // Warming is what the servers of a slice have shown in earlier cold starts. It lets a later one ramp
@@ -54,7 +56,7 @@
 	}
 	byLatency := float64(first-p.recent) / float64(first-warm)
 	if w.answers == 0 {
-		return max(0, byLatency-latencySlack)
+		return max(0, byLatency-latencyMargin)
 	}
 	return min(float64(p.answers)/float64(w.answers), max(0, byLatency)+latencySlack, 1)
 }
--- a/trial/pool.go
+++ b/trial/pool.go
@@ -21,6 +21,7 @@
 		p.asked += r.asked
 		p.sends += r.sends
 		p.firsts += r.firsts
+		p.hedges += r.hedges
 		p.answers += r.answers
 		p.wanted += r.wanted
 		p.worth += r.worth
@@ -34,6 +35,7 @@
 }
 
 func (r *Result) addCounts(o Result) {
+	r.Overtaken += o.Overtaken
 	r.ColdOver += o.ColdOver
 	r.ColdUnseen += o.ColdUnseen
 	r.ColdReceived += o.ColdReceived
@@ -59,6 +61,7 @@
 		r.Coverage = float64(r.covered) / float64(r.asked)
 	}
 	if r.firsts > 0 {
+		r.Hedges = float64(r.hedges) / float64(r.firsts)
 		r.Extra = float64(r.sends-r.firsts) / float64(r.firsts)
 	}
 	if r.Ramps > 0 {
--- a/trial/result.go
+++ b/trial/result.go
@@ -27,9 +27,14 @@
 	Coverage float64       `json:"Coverage"`
 	// Extra is the share of shard requests beyond one for each shard of an admitted request.
 	Extra float64 `json:"Extra"`
+	// Hedges is the share of shard requests that are hedges.
+	Hedges float64 `json:"Hedges"`
 	// Goodput is the number of answers a second; Worth weighs them by kind.
 	Goodput float64 `json:"Goodput"`
 	Worth   float64 `json:"Worth"`
+	// Overtaken is the number of requests without an answer that waited while a less worthy one was
+	// started.
+	Overtaken int `json:"Overtaken"`
 	// ColdOver is the number of requests that reached a cold server above what it bore, of
 	// ColdReceived in all, after its first answer could show that it is cold; ColdUnseen is the
 	// number before.
@@ -52,6 +57,7 @@
 	latencies, ideals *hdr.Histogram
 	covered, asked    int
 	sends, firsts     int
+	hedges            int
 	answers           int
 	wanted            int
 	// worth and offered weigh the requests answered and sent; moveWorth and moveOffered those that
@@ -83,6 +89,9 @@
 	if v.Purpose == sched.Primary || v.Purpose == sched.Canary {
 		r.firsts++
 	}
+	if v.Purpose == sched.Hedge {
+		r.hedges++
+	}
 }
 
 // add includes the end of a request and reports whether it was answered.
@@ -102,6 +111,9 @@
 	}
 	if !answered {
 		k.Refused++
+		if w.overtaken(q) {
+			r.Overtaken++
+		}
 		r.Kinds[q.kind.Name] = k
 		return false
 	}
--- a/trial/world.go
+++ b/trial/world.go
@@ -32,6 +32,8 @@
 	result  Result
 	unused  map[netip.AddrPort]string
 	flights map[flightKey]*flight
+	// starts are the first sends of all requests in the order of their times.
+	starts []start
 	// replayed is what became of each request; nil unless a trace is replayed.
 	replayed []replayed
 	recorder *Recorder
@@ -63,6 +65,22 @@
 	moving bool
 }
 
+// start is the first send of a request.
+type start struct {
+	at    time.Duration
+	worth float64
+}
+
+// overtaken reports whether a less worthy request was started while this one waited.
+func (w *world) overtaken(q *request) bool {
+	for i := len(w.starts) - 1; i >= 0 && w.starts[i].at >= q.arrived; i-- {
+		if w.starts[i].worth < q.kind.Worth {
+			return true
+		}
+	}
+	return false
+}
+
 func newWorld(c Case, p Policy, seed uint64) *world {
 	w := &world{
 		setup: c, policy: p, servers: make(map[netip.AddrPort]*modelServer),
@@ -247,6 +265,9 @@
 	w.result.sent(v)
 	if r := s.jobs[v.Job]; r != nil {
 		r.sends++
+		if r.sends == 1 {
+			w.starts = append(w.starts, start{w.now, r.kind.Worth})
+		}
 	}
 	key := flightKey{sender: s.id, attempt: v.Attempt}
 	server := w.servers[v.Server]
