--- a/back/client.go
+++ b/back/client.go
@@ -22,12 +22,16 @@
 	defaultProbeTimeout = 250 * time.Millisecond
 	// defaultIdleLifetime is short, so that few connections can go silent unnoticed.
 	defaultIdleLifetime = 10 * time.Second
+	// defaultCancelTimeout is the time in which a server ends a canceled request.
+	defaultCancelTimeout = 200 * time.Millisecond
 	// defaultRetireTimeout bounds the wait for the server to close a connection.
 	defaultRetireTimeout = 2 * time.Second
 	defaultUserTimeout   = 5 * time.Second
 	// defaultMaxRequest and defaultMaxAnswer are bytes of body.
 	defaultMaxRequest = 1 << 20
 	defaultMaxAnswer  = 4 << 20
+	// maxHits bounds the hits for which space is made ahead.
+	maxHits = 100
 )
 
 // Config holds the limits of a client. A zero field takes its default.
@@ -43,6 +47,9 @@
 	// RetireTimeout is the longest time that a retired connection is counted while the server
 	// has not closed it. It is then reset.
 	RetireTimeout time.Duration
+	// CancelTimeout is the longest time that a connection is kept for the answer to a canceled
+	// request. It is then retired.
+	CancelTimeout time.Duration
 	// UserTimeout is TCP_USER_TIMEOUT: the longest time that written data may stay
 	// unacknowledged.
 	UserTimeout time.Duration
@@ -60,6 +67,7 @@
 	c.DialTimeout = orDefault(c.DialTimeout, defaultDialTimeout)
 	c.ProbeTimeout = orDefault(c.ProbeTimeout, defaultProbeTimeout)
 	c.IdleLifetime = orDefault(c.IdleLifetime, defaultIdleLifetime)
+	c.CancelTimeout = orDefault(c.CancelTimeout, defaultCancelTimeout)
 	c.RetireTimeout = orDefault(c.RetireTimeout, defaultRetireTimeout)
 	c.UserTimeout = orDefault(c.UserTimeout, defaultUserTimeout)
 	c.MaxRequest = orDefault(c.MaxRequest, defaultMaxRequest)
@@ -91,20 +99,17 @@
 	scratch sync.Pool
 	mu      sync.Mutex
 	pools   atomic.Pointer[map[netip.AddrPort]*pool]
-	stop    chan struct{}
+	stop    context.CancelFunc
 	done    chan struct{}
 }
 
 // NewClient returns a client without servers. Close ends it.
 func NewClient(c Config) *Client {
-	k := &Client{
-		config: c.withDefaults(),
-		stop:   make(chan struct{}),
-		done:   make(chan struct{}),
-	}
+	ctx, stop := context.WithCancel(context.Background())
+	k := &Client{config: c.withDefaults(), stop: stop, done: make(chan struct{})}
 	k.scratch.New = func() any { return newScratch() }
 	k.pools.Store(&map[netip.AddrPort]*pool{})
-	go k.reap()
+	go k.reap(ctx)
 	return k
 }
 
@@ -142,21 +147,22 @@
 	return p.count()
 }
 
-// Close drops all servers. Requests in flight are completed.
+// Close drops all servers. Requests in flight are completed, and their connections are closed
+// after it returns. It may be called more than once.
 func (k *Client) Close() {
 	k.SetServers(nil)
-	close(k.stop)
+	k.stop()
 	<-k.done
 }
 
 // reap closes idle connections that have reached their lifetime.
-func (k *Client) reap() {
+func (k *Client) reap(ctx context.Context) {
 	defer close(k.done)
 	t := time.NewTicker(max(k.config.IdleLifetime/4, time.Millisecond))
 	defer t.Stop()
 	for {
 		select {
-		case <-k.stop:
+		case <-ctx.Done():
 			return
 		case now := <-t.C:
 			for p := range maps.Values(*k.pools.Load()) {
@@ -167,21 +173,21 @@
 }
 
 // Query sends one shard query. The answer is valid only when the class is OK. Cancellation of ctx
-// closes the connection, which cancels the query at the server.
+// also cancels the query at the server.
 func (k *Client) Query(
 	ctx context.Context, server netip.AddrPort, deadline time.Time, q wire.ShardQuery,
 ) (wire.ShardAnswer, Result) {
 	s := k.scratch.Get().(*scratch)
 	defer k.keep(s)
-	var a wire.ShardAnswer
-	r := k.send(ctx, server, deadline, request{path: "/shard", id: q.RequestID, body: &q}, s)
-	if r.Class != OK {
-		return a, r
-	}
-	if !decode(s.in.Bytes(), &a, &r) {
-		return wire.ShardAnswer{}, r
-	}
-	matchQuery(&a, &q, &r)
+	a := wire.ShardAnswer{Hits: make([]wire.Hit, 0, max(0, min(q.TopK, maxHits)))}
+	r := k.send(ctx, server, deadline, request{
+		path: "/shard", id: q.RequestID, shard: q.Shard, body: &q,
+		accept: func(b []byte, r *Result) {
+			if decode(b, &a, r) {
+				matchQuery(&a, &q, r)
+			}
+		},
+	}, s)
 	if r.Class != OK {
 		return wire.ShardAnswer{}, r
 	}
@@ -198,20 +204,14 @@
 	s := k.scratch.Get().(*scratch)
 	defer k.keep(s)
 	var a wire.BackendOrderAnswer
-	r := k.send(ctx, server, deadline,
-		request{path: "/order", id: o.Key, body: &o, order: true}, s)
-	if r.Class != OK {
-		return a, r
-	}
-	if !decode(s.in.Bytes(), &a, &r) {
-		return wire.BackendOrderAnswer{}, r
-	}
-	switch {
-	case !a.Complete:
-		r.fail(Invalid, "back: the answer is not complete")
-	case a.Key != o.Key:
-		r.fail(Invalid, "back: the answer names another key")
-	}
+	r := k.send(ctx, server, deadline, request{
+		path: "/order", id: o.Key, shard: o.Shard, body: &o, order: true,
+		accept: func(b []byte, r *Result) {
+			if decode(b, &a, r) {
+				matchOrder(&a, &o, r)
+			}
+		},
+	}, s)
 	if r.Class != OK {
 		return wire.BackendOrderAnswer{}, r
 	}
@@ -220,6 +220,38 @@
 	return a, r
 }
 
+// Health asks a server for its health. The state may lag or mislead, so it is a reason to send
+// less to a server, never more.
+func (k *Client) Health(
+	ctx context.Context, server netip.AddrPort, deadline time.Time,
+) (wire.Health, Result) {
+	return k.state(ctx, server, deadline, "/health")
+}
+
+// Load asks a server for its load, with the limits of Health.
+func (k *Client) Load(
+	ctx context.Context, server netip.AddrPort, deadline time.Time,
+) (wire.Health, Result) {
+	return k.state(ctx, server, deadline, "/load")
+}
+
+func (k *Client) state(
+	ctx context.Context, server netip.AddrPort, deadline time.Time, path string,
+) (wire.Health, Result) {
+	s := k.scratch.Get().(*scratch)
+	defer k.keep(s)
+	var h wire.Health
+	r := k.send(ctx, server, deadline, request{
+		path: path, accept: func(b []byte, r *Result) { decode(b, &h, r) },
+	}, s)
+	if r.Class != OK {
+		return wire.Health{}, r
+	}
+	r.Incarnation = h.Incarnation
+	r.Warm, r.Draining = h.State != wire.ServerCold, h.State == wire.ServerDraining
+	return h, r
+}
+
 func matchQuery(a *wire.ShardAnswer, q *wire.ShardQuery, r *Result) {
 	switch {
 	case !a.Complete:
@@ -232,3 +264,12 @@
 		r.fail(Invalid, "back: the answer names another index version")
 	}
 }
+
+func matchOrder(a *wire.BackendOrderAnswer, o *wire.BackendOrder, r *Result) {
+	switch {
+	case !a.Complete:
+		r.fail(Invalid, "back: the answer is not complete")
+	case a.Key != o.Key:
+		r.fail(Invalid, "back: the answer names another key")
+	}
+}
--- a/back/exchange.go
+++ b/back/exchange.go
@@ -18,12 +18,16 @@
 // maxKept is the largest buffer in bytes that is kept for the next request.
 const maxKept = 256 << 10
 
-// request is one request to a server.
+// request is one request to a server. A nil body makes it a GET.
 type request struct {
 	path  string
 	id    string
+	shard string
 	body  any
 	order bool
+	// accept decodes an answer with status 200 and sets the class Invalid when it does not belong
+	// to the request. Nil accepts any.
+	accept func(answer []byte, r *Result)
 }
 
 // scratch holds the buffers of one request.
@@ -33,27 +37,29 @@
 	in      bytes.Buffer
 	encoder *json.Encoder
 	reader  bytes.Reader
+	limited io.LimitedReader
+	content io.ReadCloser
 	url     url.URL
 	request http.Request
 	id      [1]string
 	until   [1]string
 	pool    *pool
+	sent    request
 }
 
 func newScratch() *scratch {
 	s := &scratch{}
 	s.encoder = json.NewEncoder(&s.body)
 	s.encoder.SetEscapeHTML(false)
+	s.content = io.NopCloser(&s.reader)
 	s.request = http.Request{
-		Method: http.MethodPost,
-		URL:    &s.url,
+		URL: &s.url,
 		Header: http.Header{
 			"Content-Type":       {"application/json"},
 			"User-Agent":         {""},
 			wire.HeaderRequestID: s.id[:],
 			wire.HeaderDeadline:  s.until[:],
 		},
-		Body: io.NopCloser(&s.reader),
 	}
 	return s
 }
@@ -67,10 +73,15 @@
 
 // encode writes the whole request into s.out, so that it needs one write to the connection.
 func (s *scratch) encode(q request, host string, deadline time.Time, limit int) error {
+	s.sent = q
 	s.body.Reset()
 	s.out.Reset()
-	if err := s.encoder.Encode(q.body); err != nil {
-		return errors.Wrap(err, "back: encode request")
+	s.request.Method, s.request.Body = http.MethodGet, nil
+	if q.body != nil {
+		if err := s.encoder.Encode(q.body); err != nil {
+			return errors.Wrap(err, "back: encode request")
+		}
+		s.request.Method, s.request.Body = http.MethodPost, s.content
 	}
 	if s.body.Len() > limit {
 		return errors.Newf("back: the request body of %d bytes is above %d", s.body.Len(), limit)
@@ -150,7 +161,9 @@
 	if err == nil {
 		c.served++
 		k.classify(status, s, r)
-		if reusable && stopped {
+		// After an answer that belongs to another request, each later one on the connection may be
+		// one late, and a refusal would be taken for that of the wrong order.
+		if reusable && stopped && r.Class != Invalid {
 			p.put(c)
 		} else {
 			p.retire(c)
@@ -162,6 +175,11 @@
 		r.fail(Unsent, errors.Wrapf(err, "back: write to %s", p.host).Error())
 		return c.served > 0 && !isTimeout(err)
 	}
+	if e := (*readError)(nil); errors.As(err, &e) && e.silent && isTimeout(err) && canceled(ctx) {
+		r.fail(Canceled, err.Error())
+		k.cancel(p, c, s.sent)
+		return false
+	}
 	k.broken(ctx, p, c, begin, err, r)
 	return false
 }
@@ -184,7 +202,8 @@
 	if v.ContentLength > 0 {
 		s.in.Grow(int(v.ContentLength) + bytes.MinRead)
 	}
-	if _, err := s.in.ReadFrom(io.LimitReader(v.Body, int64(limit)+1)); err != nil {
+	s.limited = io.LimitedReader{R: v.Body, N: int64(limit) + 1}
+	if _, err := s.in.ReadFrom(&s.limited); err != nil {
 		return 0, false, &readError{err: err, body: true}
 	}
 	if s.in.Len() > limit {
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -41,6 +41,9 @@
 	}
 	r, before, news := n.table.apply(n.now, u.Member)
 	if !news {
+		if r.Incarnation == u.Incarnation && r.Sequence == u.Sequence && r.State == u.State {
+			n.heard(r, from)
+		}
 		return false
 	}
 	n.contacts = slices.DeleteFunc(n.contacts, func(a netip.AddrPort) bool { return a == u.Address })
@@ -78,6 +81,9 @@
 	case u.Incarnation == me.Incarnation &&
 		(u.Sequence > me.Sequence || u.Sequence == me.Sequence && u.State != me.State):
 		n.restate(u.Sequence+1, me.State)
+		if u.State == StateDown {
+			n.abstainAll()
+		}
 	case u.Incarnation < me.Incarnation || u.State == StateDown:
 		if from.IsValid() {
 			n.tell(from, me)
--- a/stand/job.go
+++ b/stand/job.go
@@ -104,24 +104,24 @@
 func (s *Server) accept(j *job, now time.Time) (wire.BackendReason, bool) {
 	s.mu.Lock()
 	down := s.life == nil
-	var e *endpoint
+	var l *listener
 	var reason wire.BackendReason
 	var ok bool
 	if !down {
-		e, reason, ok = s.acceptLocked(j, now)
+		l, reason, ok = s.acceptLocked(j, now)
 	}
 	s.mu.Unlock()
 	if down {
 		panic(http.ErrAbortHandler)
 	}
-	if e != nil {
-		e.close()
+	if l != nil {
+		l.stop()
 	}
 	return reason, ok
 }
 
-// acceptLocked is accept without closing the endpoint that it returns after a crash.
-func (s *Server) acceptLocked(j *job, now time.Time) (*endpoint, wire.BackendReason, bool) {
+// acceptLocked is accept without stopping the listener that it returns after a crash.
+func (s *Server) acceptLocked(j *job, now time.Time) (*listener, wire.BackendReason, bool) {
 	l := s.life
 	j.life = l
 	j.fate = s.fate(j, s.faults)
@@ -277,7 +277,7 @@
 		s.refuse(w, r, reason)
 		return
 	}
-	f := wire.BackendFailure{Reason: reason, Incarnation: j.life.incarnation}
+	f := wire.BackendFailure{RequestID: j.id, Reason: reason, Incarnation: j.life.incarnation}
 	s.send(w, r, newReply(statusOf(reason), f))
 }
 
@@ -285,7 +285,7 @@
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, reason wire.BackendReason) {
 	s.mu.Lock()
 	s.record.NotRun[reason]++
-	f := wire.BackendFailure{NotRun: true, Reason: reason}
+	f := wire.BackendFailure{RequestID: r.Header.Get(wire.HeaderRequestID), NotRun: true, Reason: reason}
 	if s.life != nil {
 		f.Incarnation = s.life.incarnation
 	}
