--- a/trial/result.go
+++ b/trial/result.go
@@ -27,9 +27,14 @@
 	Coverage float64       `json:"Coverage"`
 	// Extra is the share of shard requests beyond one for each shard of an admitted request.
 	Extra float64 `json:"Extra"`
+	// Hedges is the share of shard requests that are hedges.
+	Hedges float64 `json:"Hedges"`
 	// Goodput is the number of answers a second; Worth weighs them by kind.
 	Goodput float64 `json:"Goodput"`
 	Worth   float64 `json:"Worth"`
+	// Overtaken is the number of requests without an answer that waited while a less worthy one was
+	// started.
+	Overtaken int `json:"Overtaken"`
 	// ColdOver is the number of requests that reached a cold server above what it bore, of
 	// ColdReceived in all, after its first answer could show that it is cold; ColdUnseen is the
 	// number before.
@@ -52,6 +57,7 @@
 	latencies, ideals *hdr.Histogram
 	covered, asked    int
 	sends, firsts     int
+	hedges            int
 	answers           int
 	wanted            int
 	// worth and offered weigh the requests answered and sent; moveWorth and moveOffered those that
@@ -83,25 +89,33 @@
 	if v.Purpose == sched.Primary || v.Purpose == sched.Canary {
 		r.firsts++
 	}
+	if v.Purpose == sched.Hedge {
+		r.hedges++
+	}
 }
 
-func (r *Result) add(w *world, q *request, f sched.Finished) {
+// add includes the end of a request and reports whether it was answered.
+func (r *Result) add(w *world, q *request, f sched.Finished) bool {
+	asked := q.shards
+	covered := asked - len(f.Missing)
+	answered := f.Failure == nil && float64(covered) >= q.kind.MinCoverage*float64(asked)
 	if q.arrived < r.warmup || q.poison {
-		return
+		return answered
 	}
 	k := r.Kinds[q.kind.Name]
 	k.Sent++
-	asked := q.shards
 	r.wanted += asked
 	r.offered += q.kind.Worth
 	if q.moving {
 		r.moveOffered += q.kind.Worth
 	}
-	covered := asked - len(f.Missing)
-	if f.Failure != nil || float64(covered) < q.kind.MinCoverage*float64(asked) {
+	if !answered {
 		k.Refused++
+		if w.overtaken(q) {
+			r.Overtaken++
+		}
 		r.Kinds[q.kind.Name] = k
-		return
+		return false
 	}
 	k.Answered++
 	r.Kinds[q.kind.Name] = k
@@ -117,6 +131,7 @@
 	if q.ideal > 0 {
 		_ = r.ideals.RecordValue(q.ideal.Microseconds())
 	}
+	return true
 }
 
 func (r *Result) close(w *world) {
@@ -151,6 +166,13 @@
 	return newWorld(c, p, seed).run()
 }
 
+// RunRecorded is Run with a trace of each finished request.
+func RunRecorded(c Case, p Policy, seed uint64, r *Recorder) Result {
+	w := newWorld(c, p, seed)
+	w.recorder = r
+	return w.run()
+}
+
 func formatFactor(f float64) string {
 	return fmt.Sprintf("%gx", f)
 }
--- a/trial/world.go
+++ b/trial/world.go
@@ -32,6 +32,11 @@
 	result  Result
 	unused  map[netip.AddrPort]string
 	flights map[flightKey]*flight
+	// starts are the first sends of all requests in the order of their times.
+	starts []start
+	// replayed is what became of each request; nil unless a trace is replayed.
+	replayed []replayed
+	recorder *Recorder
 	// returned is the time at which a failure domain last came back.
 	returned time.Duration
 }
@@ -52,10 +57,30 @@
 	poison  bool
 	ideal   time.Duration
 	shards  int
+	sends   int
+	print   guard.Fingerprint
+	// place is the index in a replayed trace.
+	place int
 	// moving means that it arrived while a failure domain moved.
 	moving bool
 }
 
+// start is the first send of a request.
+type start struct {
+	at    time.Duration
+	worth float64
+}
+
+// overtaken reports whether a less worthy request was started while this one waited.
+func (w *world) overtaken(q *request) bool {
+	for i := len(w.starts) - 1; i >= 0 && w.starts[i].at >= q.arrived; i-- {
+		if w.starts[i].worth < q.kind.Worth {
+			return true
+		}
+	}
+	return false
+}
+
 func newWorld(c Case, p Policy, seed uint64) *world {
 	w := &world{
 		setup: c, policy: p, servers: make(map[netip.AddrPort]*modelServer),
@@ -147,7 +172,13 @@
 }
 
 func (w *world) submit(k *Kind, id string, poison bool) {
-	r := &request{id: id, kind: k, arrived: w.now, poison: poison}
+	fp := guard.FingerprintOf("trial", k.Name, id)
+	w.submitRequest(&request{id: id, kind: k, arrived: w.now, poison: poison}, fp)
+}
+
+func (w *world) submitRequest(r *request, fp guard.Fingerprint) {
+	r.print = fp
+	k := r.kind
 	s := w.senders[w.rand.IntN(len(w.senders))]
 	tasks := w.tasks
 	if !k.Idempotent {
@@ -158,10 +189,9 @@
 	if k.Idempotent && w.setup.Ideal {
 		r.ideal = w.ideal(r, tasks)
 	}
-	fp := guard.FingerprintOf("trial", k.Name, id)
 	job, out := s.slice.Submit(w.time(), sched.Request{
-		RequestID: id, Kind: k.Name, Worth: k.Worth, Deadline: w.time().Add(k.Timeout),
-		Idempotent: k.Idempotent, Fingerprint: fp, Proven: w.setup.Proven && !poison, Tasks: tasks,
+		RequestID: r.id, Kind: k.Name, Worth: k.Worth, Deadline: w.time().Add(k.Timeout),
+		Idempotent: k.Idempotent, Fingerprint: fp, Proven: w.setup.Proven && !r.poison, Tasks: tasks,
 	})
 	s.jobs[job] = r
 	w.carryOut(s, out)
@@ -227,11 +257,18 @@
 func (w *world) record(s *sender, f sched.Finished) {
 	r := s.jobs[f.Job]
 	delete(s.jobs, f.Job)
-	w.result.add(w, r, f)
+	answered := w.result.add(w, r, f)
+	w.note(r, answered, f.Failure)
 }
 
 func (w *world) send(s *sender, v sched.Send) {
 	w.result.sent(v)
+	if r := s.jobs[v.Job]; r != nil {
+		r.sends++
+		if r.sends == 1 {
+			w.starts = append(w.starts, start{w.now, r.kind.Worth})
+		}
+	}
 	key := flightKey{sender: s.id, attempt: v.Attempt}
 	server := w.servers[v.Server]
 	server.received++
