serve: let a fresh node take its peers' document first, and report conflicts in status

Cause: a fresh node read the platform at once, so with a stale platform it put an older document in force than its peers had, until it heard them. A document that conflicts with a peer's of the same version was only logged. Change: a fresh node reads the platform after a majority of the bootstrap sample has answered and the highest version heard is in force (fleet.Node.Settled). A conflict shows in ConfigFault.

--- a/fleet/config.go
+++ b/fleet/config.go
@@ -118,19 +118,26 @@
 // checkReady makes a fresh node ready when a majority of the sample has answered and the highest
 // version heard is in force.
 func (n *Node) checkReady() {
-	b := &n.boot
-	if b.ready || !b.chosen || n.version == 0 || n.version < n.config.highest {
+	if n.boot.ready || n.version == 0 || !n.Settled() {
 		return
 	}
+	n.boot.ready = true
+	n.emit(Event{Kind: BecameReady, Version: n.version, Hash: n.hash})
+}
+
+// Settled reports whether a majority of the bootstrap sample has answered and the node has the
+// highest version heard, or none has one. Before that a document from the platform may be older than
+// that of the peers.
+func (n *Node) Settled() bool {
+	b := &n.boot
+	if !b.chosen || n.version < n.config.highest {
+		return false
+	}
 	count := 1
 	for _, a := range b.sample {
 		if b.answered[a] {
 			count++
 		}
 	}
-	if count < n.rules.quorum(len(b.sample)+1) {
-		return
-	}
-	b.ready = true
-	n.emit(Event{Kind: BecameReady, Version: n.version, Hash: n.hash})
+	return count >= n.rules.quorum(len(b.sample)+1)
 }
--- a/peer/query.go
+++ b/peer/query.go
@@ -66,6 +66,12 @@
 	return ask(n, func(_ time.Time, f *fleet.Node) bool { return f.Ready() })
 }
 
+// Settled reports whether a fresh node may take a document from the platform; see
+// fleet.Node.Settled.
+func (n *Node) Settled() bool {
+	return ask(n, func(_ time.Time, f *fleet.Node) bool { return f.Settled() })
+}
+
 // Self returns this node as others know it. Its address and incarnation name it in order keys.
 func (n *Node) Self() fleet.Member {
 	return ask(n, func(_ time.Time, f *fleet.Node) fleet.Member { return f.Self() })
--- /dev/null
+++ b/serve/config_test.go
@@ -0,0 +1,222 @@
+package serve
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// configBound is the objective for a change to be in force everywhere at 9 nodes.
+const configBound = 2 * time.Second
+
+// inForce waits until all nodes have the version and returns how long that took.
+func (f *testFleet) inForce(version uint64) time.Duration {
+	f.t.Helper()
+	begin := time.Now()
+	f.until(fmt.Sprint("version ", version), func() bool {
+		for _, n := range f.nodes {
+			if n.Status().Version != version {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Since(begin)
+}
+
+// Guards against a change that is late at a node, a reversal, and an answer of status in which the
+// preset is not that of the version.
+func TestConfigurationEverywhere(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, stand.Layout{}, "Lukang", "Lukang", "Lukang", "Yilan", "Yilan", "Yilan", "Chiayi", "Chiayi", "Chiayi")
+	presets := []string{"ordinary", "peak", "maintenance"}
+	var wait sync.WaitGroup
+	done := make(chan bool)
+	for _, n := range f.nodes {
+		wait.Go(func() {
+			for last := uint64(0); ; {
+				s := n.Status()
+				if want := presets[(s.Version-1)%3]; s.Preset != want || s.Version < last {
+					t.Errorf("%s: version %d after %d, preset %s, want %s", s.Name, s.Version, last, s.Preset, want)
+				}
+				last = s.Version
+				select {
+				case <-done:
+					return
+				case <-time.After(time.Millisecond):
+				}
+			}
+		})
+	}
+	for v := uint64(2); v <= 6; v++ {
+		is.NoErr(f.Update(func(d *conf.Document) { d.Preset = presets[(v-1)%3] }))
+		is.True(f.inForce(v) < configBound)
+	}
+	close(done)
+	wait.Wait()
+}
+
+// Guards against a document with a fault that changes anything or goes unreported, and against a
+// second document of a version that replaces the first.
+func TestConfigurationFaults(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, stand.Layout{}, "Lukang", "Yilan", "Chiayi")
+	bad := f.Document()
+	bad.Version, bad.Preset = 2, "festival"
+	raw, err := json.Marshal(bad)
+	is.NoErr(err)
+	is.NoErr(f.Platform.PublishRaw(raw))
+	f.until("the fault in a status", func() bool {
+		reported := 0
+		for _, n := range f.nodes {
+			s := n.Status()
+			is.Equal(s.Version, uint64(1))
+			is.Equal(s.Preset, "ordinary")
+			if s.ConfigFault != "" {
+				reported++
+			}
+		}
+		return reported == len(f.nodes) // each is a reader of its domain
+	})
+	good := f.Document()
+	good.Version, good.Preset = 3, "peak"
+	is.NoErr(f.Platform.Publish(good))
+	f.inForce(3)
+	for _, n := range f.nodes {
+		is.Equal(n.Status().ConfigFault, "")
+	}
+	other := f.Document()
+	other.Version, other.Preset = 3, "maintenance"
+	is.True(f.nodes[0].install(other, "test") != nil)
+	is.True(f.nodes[0].Status().ConfigFault != "")
+	is.Equal(f.nodes[0].Status().Preset, "peak")
+	// A node that was alone came to another document of the version.
+	split, err := stand.NewPlatform(stand.PlatformConfig{Document: other})
+	is.NoErr(err)
+	url := serveHandler(t, split)
+	alone := f.startWith("alone", "Lukang", func(s *conf.Settings) { s.Platform = url })
+	f.until("the lone node ready", alone.Ready)
+	split.SetVMs(f.Platform.VMs())
+	f.until("the conflict in the status of the lone node", func() bool { return alone.Status().ConfigFault != "" })
+	f.until("the conflict at a peer", func() bool {
+		return f.nodes[1].Status().ConfigFault != "" || f.nodes[2].Status().ConfigFault != ""
+	})
+	is.Equal(alone.Status().Preset, "maintenance")
+	for _, n := range f.nodes[:3] {
+		is.Equal(n.Status().Preset, "peak")
+	}
+	good.Version, good.Preset = 4, "ordinary"
+	is.NoErr(f.Platform.Publish(good))
+	f.inForce(4)
+}
+
+// installed records the versions that a node puts in force from its start until the test ends.
+func installed(t *testing.T, n *Node) func() []uint64 {
+	t.Helper()
+	return func() []uint64 {
+		n.installMu.Lock()
+		defer n.installMu.Unlock()
+		var list []uint64
+		for _, v := range n.history {
+			list = append(list, v.catalog.Document.Version)
+		}
+		return list
+	}
+}
+
+// Guards against a fresh node that puts an older document in force than its peers have while the
+// platform is stale or down, and against one that is cut off and serves.
+func TestFreshNode(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, stand.Layout{}, "Lukang", "Yilan", "Chiayi")
+	for v := uint64(2); v <= 3; v++ {
+		is.NoErr(f.Update(func(d *conf.Document) { d.Preset = "peak" }))
+		f.inForce(v)
+	}
+	f.Platform.SetFaults(stand.PlatformFaults{Stale: 1})
+	stale := f.start("stale", "Lukang")
+	versions := installed(t, stale)
+	f.until("ready with a stale platform", stale.Ready)
+	is.Equal(versions(), []uint64{3})
+	f.Platform.SetFaults(stand.PlatformFaults{Down: true})
+	down := f.start("down", "Yilan")
+	cut := f.startWith("cut off", "Chiayi", func(s *conf.Settings) { s.FleetKeys = []string{"ff0102030405060708090a0b0c0d0e0f"} })
+	var a wire.Answer
+	for _, n := range []*Node{down, cut} {
+		status, v := f.post(n, "/v1/services/service-0/query", wire.Query{Kind: "lookup", Query: "q"}, &a)
+		is.Equal(status, http.StatusServiceUnavailable)
+		is.Equal(v.Reason, wire.ReasonNotReady)
+		is.True(v.NotRun)
+	}
+	f.Platform.SetFaults(stand.PlatformFaults{Stale: 2})
+	f.until("ready after the platform was down", down.Ready)
+	is.Equal(installed(t, down)(), []uint64{3})
+	is.True(!cut.Ready())
+	f.until("requests of the node that is cut off refused by peers", func() bool {
+		return f.nodes[0].Status().Control.WrongKey+f.nodes[1].Status().Control.WrongKey > 0
+	})
+	is.True(!cut.Ready())
+}
+
+// Guards against access without a right, and against a body that is refused without a clear reason or
+// that changes anything.
+func TestAccess(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, stand.Layout{Services: 2}, "Lukang", "Yilan", "Chiayi")
+	is.NoErr(f.Update(func(d *conf.Document) { d.Callers[0].Services = []string{testService} }))
+	f.inForce(2)
+	f.home()
+	query := []byte(`{"Kind":"lookup","Query":"q"}`)
+	order := []byte(`{"Key":"k","Kind":"order","Body":{}}`)
+	large := append(append([]byte(`{"Kind":"lookup","Query":"`), bytes.Repeat([]byte("x"), 1<<20)...), `"}`...)
+	for _, c := range []struct {
+		name, key, path string
+		body            []byte
+		status          int
+		reason          wire.Reason
+	}{
+		{"no key", "", "/v1/services/service-0/query", query, 401, wire.ReasonUnauthorized},
+		{"unknown key", "other", "/v1/services/service-0/query", query, 401, wire.ReasonUnauthorized},
+		{"unknown key, order", "other", "/v1/services/service-0/orders", order, 401, wire.ReasonUnauthorized},
+		{"other service", stand.CallerKey, "/v1/services/service-1/query", query, 403, wire.ReasonForbidden},
+		{"other service, keys", stand.CallerKey, "/v1/services/service-1/order-keys", []byte(`{"Count":1}`), 403, wire.ReasonForbidden},
+		{"other service, order", stand.CallerKey, "/v1/services/service-1/orders", order, 403, wire.ReasonForbidden},
+		{"unknown path", stand.CallerKey, "/v1/services/service-0/none", query, 404, wire.ReasonNotFound},
+		{"unknown kind", stand.CallerKey, "/v1/services/service-0/query", []byte(`{"Kind":"none","Query":"q"}`), 400, wire.ReasonBadRequest},
+		{"order as a query", stand.CallerKey, "/v1/services/service-0/query", []byte(`{"Kind":"order","Query":"q"}`), 400, wire.ReasonBadRequest},
+		{"query as an order", stand.CallerKey, "/v1/services/service-0/orders", []byte(`{"Key":"k","Kind":"lookup","Body":{}}`), 400, wire.ReasonBadRequest},
+		{"bad key", stand.CallerKey, "/v1/services/service-0/orders", order, 400, wire.ReasonBadRequest},
+		{"bad JSON", stand.CallerKey, "/v1/services/service-0/query", []byte(`{"Kind":`), 400, wire.ReasonBadRequest},
+		{"unknown field", stand.CallerKey, "/v1/services/service-0/query", []byte(`{"Kind":"lookup","Qery":"q"}`), 400, wire.ReasonBadRequest},
+		{"two values", stand.CallerKey, "/v1/services/service-0/query", append(query[:len(query):len(query)], query...), 400, wire.ReasonBadRequest},
+		{"too large", stand.CallerKey, "/v1/services/service-0/query", large, 413, wire.ReasonTooLarge},
+		{"too many keys", stand.CallerKey, "/v1/services/service-0/order-keys", []byte(`{"Count":101}`), 400, wire.ReasonBadRequest},
+	} {
+		for _, n := range f.nodes {
+			q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+n.CallerAddress().String()+c.path, bytes.NewReader(c.body))
+			is.NoErr(err)
+			if c.key != "" {
+				q.Header.Set("Authorization", "Bearer "+c.key)
+			}
+			status, v := f.send(q, nil)
+			if status != c.status || v == nil || v.Reason != c.reason {
+				t.Errorf("%s: status %d, %v", c.name, status, v)
+			}
+		}
+	}
+	is.Equal(f.total(func(r stand.Record) int { return r.Received }), 0)
+}
--- a/serve/watch.go
+++ b/serve/watch.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/guard"
 	"github.com/arbutusthread/arbutusthread/wire"
@@ -32,10 +34,11 @@
 	noteMark    = "Mark"
 )
 
-// watchConfig reads the configuration while the node is a reader or not ready yet.
+// watchConfig reads the configuration while the node is a reader or not ready yet. A fresh node
+// first takes the document of its peers, because the platform may be stale.
 func (n *Node) watchConfig(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !n.reads() {
+		if !n.reads() || !n.Ready() && !n.peer.Settled() {
 			sleep(ctx, checkInterval)
 			continue
 		}
@@ -109,7 +112,7 @@
 		n.note(e.Note)
 		return
 	case fleet.ConfigConflict:
-		n.log.Error("a peer has another configuration of this version", "Peer", e.Peer, "Version", e.Version)
+		n.refuseConfig(e.Version, e.Peer.String(), errors.Newf("serve: %s has another configuration of version %d", e.Peer, e.Version))
 	}
 	if e.Kind != fleet.LeaseRenewed {
 		n.log.Info("fleet", "Event", e.Kind, "Member", e.Member.Address, "Service", e.Service, "Slice", e.Slice, "Peer", e.Peer)
