Prove the invariants on fleets of processes under faults

Change: package proof starts the binary as one standin and 3 to 9 nodes on loopback, disturbs nodes, platform, servers and domains by a seeded schedule, reconciles each order with the records of the servers, and checks histories of orders and of versions with porcupine.

--- /dev/null
+++ b/proof/callers_test.go
@@ -0,0 +1,213 @@
+package proof
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/call"
+	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// callers query and order without pause until stop.
+type callers struct {
+	fleet  *fleet
+	client *call.Client
+	orders *history
+	wait   sync.WaitGroup
+	end    context.CancelFunc
+
+	mu       sync.Mutex
+	wrong    []string
+	queries  int
+	answered int
+	refused  map[wire.Reason]int
+	// answers has the times of answers of each service.
+	answers map[string][]time.Time
+	open    []openOrder
+	known   map[string]wire.Outcome
+}
+
+// openOrder is an order whose outcome is unknown.
+type openOrder struct {
+	service string
+	key     wire.OrderKey
+	order   call.Order
+}
+
+const callerGap = 5 * time.Millisecond
+
+func (f *fleet) callers(seed uint64, queriers, orderers int) *callers {
+	ctx, end := context.WithCancel(context.Background())
+	c := &callers{
+		fleet: f, client: f.client(seed), orders: newHistory(), end: end,
+		refused: map[wire.Reason]int{}, answers: map[string][]time.Time{}, known: map[string]wire.Outcome{},
+	}
+	f.t.Cleanup(c.stop)
+	for i := range queriers + orderers {
+		c.wait.Go(func() {
+			random := rand.New(rand.NewPCG(seed, uint64(i)))
+			for n := 0; ctx.Err() == nil; n++ {
+				service := fmt.Sprintf("service-%d", random.IntN(len(f.document.Services)))
+				if i < queriers {
+					c.query(service, fmt.Sprintf("q-%d-%d", i, n))
+				} else {
+					c.order(service, fmt.Sprintf(`"%d-%d"`, i, n))
+				}
+				pause(ctx, callerGap)
+			}
+		})
+	}
+	return c
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (c *callers) stop() {
+	c.end()
+	c.wait.Wait()
+}
+
+func (c *callers) query(service, id string) {
+	q := wire.Query{RequestID: id, Kind: "lookup", Query: "pairs " + id}
+	a, err := c.client.Query(context.Background(), service, q)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queries++
+	if err != nil {
+		c.refused[wire.AsFailure(err).Reason]++
+		return
+	}
+	c.answered++
+	c.answers[service] = append(c.answers[service], time.Now())
+	if text := wrongAnswer(service, q, a); text != "" {
+		c.wrong = append(c.wrong, text)
+	}
+}
+
+// wrongAnswer tells what is wrong with an answer. Its hits must be exactly those of its version in
+// the shards that it says it covers.
+func wrongAnswer(service string, q wire.Query, a *wire.Answer) string {
+	const topK = 10
+	var want []wire.Hit
+	for _, s := range a.Coverage.Covered {
+		want = append(want, stand.Hits(service, s, a.IndexVersion, q.Query, stand.DefaultHits, topK)...)
+	}
+	slices.SortStableFunc(want, func(x, y wire.Hit) int { return cmp.Compare(y.Score, x.Score) })
+	want = want[:min(topK, len(want))]
+	switch {
+	case a.RequestID != q.RequestID:
+		return fmt.Sprintf("request %s got the answer of %s", q.RequestID, a.RequestID)
+	case len(a.Coverage.Covered)+len(a.Coverage.Missing) != a.Coverage.Shards:
+		return fmt.Sprintf("coverage %+v does not add up", a.Coverage)
+	case !slices.EqualFunc(a.Hits, want, func(x, y wire.Hit) bool { return x.ID == y.ID }):
+		return fmt.Sprintf("request %s: hits %v, want %v", q.RequestID, a.Hits, want)
+	}
+	return ""
+}
+
+func (c *callers) order(service, body string) {
+	o := call.Order{Kind: "order", Body: json.RawMessage(body), Timeout: 4 * time.Second}
+	begin := time.Now()
+	r := c.client.Order(context.Background(), service, o)
+	c.note(begin, r)
+	if r.Outcome != wire.Unknown {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open = append(c.open, openOrder{service, wire.OrderKey{Key: r.Key, Expires: r.Expires}, o})
+}
+
+func (c *callers) note(begin time.Time, r call.OrderResult) {
+	if r.Key != "" {
+		c.orders.add(begin, sight{key: r.Key, outcome: r.Outcome})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := r.Key
+	if key == "" {
+		key = fmt.Sprint("no key ", len(c.known))
+	}
+	c.known[key] = r.Outcome
+}
+
+// settle asks for the outcome of the orders that are unknown, in two ways in turn.
+func (c *callers) settle() {
+	var all sync.WaitGroup
+	for i, x := range c.open {
+		all.Go(func() {
+			begin := time.Now()
+			if i%2 == 0 {
+				c.note(begin, c.client.Lookup(context.Background(), x.service, x.key.Key))
+				return
+			}
+			c.note(begin, c.client.Resend(context.Background(), x.service, x.key, x.order))
+		})
+	}
+	all.Wait()
+}
+
+// count returns the number of orders with the outcome.
+func (c *callers) count(outcome wire.Outcome) int {
+	n := 0
+	for _, o := range c.known {
+		if o == outcome {
+			n++
+		}
+	}
+	return n
+}
+
+// reconcile adds what the servers ran to the history of orders, and returns the keys run twice.
+func (c *callers) reconcile(records map[string]stand.Record) (doubled int) {
+	runs := map[string]int{}
+	for _, r := range records {
+		for key, o := range r.Orders {
+			runs[key] += o.Count
+		}
+	}
+	now := time.Now()
+	for key := range c.known {
+		if len(key) > 0 && key[0] != 'n' {
+			c.orders.add(now, sight{key: key, counted: true, runs: runs[key]})
+		}
+	}
+	for key, n := range runs {
+		if n > 1 {
+			doubled++
+			c.fleet.t.Errorf("order %s ran %d times", key, n)
+		}
+	}
+	return doubled
+}
+
+// longestGap returns the longest time without an answer of a service that begins within the window
+// after the time, of all services.
+func (c *callers) longestGap(after time.Time, window time.Duration) time.Duration {
+	var longest time.Duration
+	for _, times := range c.answers {
+		last := after
+		for _, t := range times {
+			if t.Before(after) {
+				continue
+			}
+			if last.Sub(after) < window {
+				longest = max(longest, t.Sub(last))
+			}
+			last = t
+		}
+	}
+	return longest
+}
--- /dev/null
+++ b/proof/fleet_test.go
@@ -0,0 +1,317 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusthread/arbutusthread/call"
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/serve"
+	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+var domains = []string{"Lukang", "Yilan", "Chiayi"}
+
+// process is a child process that the test has started.
+type process struct {
+	name   string
+	domain string
+	args   []string
+	peer   netip.AddrPort
+	caller netip.AddrPort
+	ops    netip.AddrPort
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	log     bytes.Buffer
+	begun   time.Time
+	life    int
+}
+
+// fleet is one standin process with nodes, on loopback addresses of its own.
+type fleet struct {
+	t        *testing.T
+	binary   string
+	dir      string
+	net      int
+	platform netip.AddrPort
+	standin  *process
+	nodes    []*process
+
+	mu       sync.Mutex
+	document *conf.Document
+	// presets has the preset of each published version.
+	presets map[uint64]string
+}
+
+var (
+	build sync.Mutex
+	nets  int
+)
+
+// startFleet builds the binary and starts the stand-ins and the nodes, and waits until all are ready.
+func startFleet(t *testing.T, count int, layout stand.Layout) *fleet {
+	t.Helper()
+	f := &fleet{t: t, dir: t.TempDir(), presets: map[uint64]string{1: "ordinary"}}
+	f.binary = filepath.Join(f.dir, "arbutusthread")
+	build.Lock()
+	nets++
+	f.net = nets
+	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", f.binary, "..").CombinedOutput()
+	build.Unlock()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	f.platform = f.address(10, 7300)
+	f.document = layout.Document()
+	f.place()
+	args := []string{"standin", "--config", f.write("document.json", f.document), "--platform", f.platform.String()}
+	for i := range count {
+		args = append(args, "--node", domains[i%3]+"="+f.address(i+1, 7100).String())
+	}
+	f.standin = &process{name: "standin", args: args}
+	f.start(f.standin)
+	f.until("the platform", func() bool { return f.get(f.platform, "/v1/reads", nil) })
+	for i := range count {
+		f.addNode(i)
+	}
+	f.until("all nodes ready, a home for each slice", f.settled)
+	return f
+}
+
+// address is on a loopback network of this test process, in which each fleet has 20 hosts. So the
+// ports of nodes can be fixed and are never taken by another socket.
+func (f *fleet) address(host int, port uint16) netip.AddrPort {
+	pid := os.Getpid()
+	network := [4]byte{127, byte(64 + pid/250%128), byte(pid % 250), byte(host + 20*(f.net-1)%240)}
+	return netip.AddrPortFrom(netip.AddrFrom4(network), port)
+}
+
+// place gives the servers of the document addresses.
+func (f *fleet) place() {
+	moved := map[netip.AddrPort]netip.AddrPort{}
+	for i := range f.document.Services {
+		v := &f.document.Services[i]
+		for k := range v.Servers {
+			moved[v.Servers[k].Address] = f.address(11, uint16(8000+len(moved)))
+			v.Servers[k].Address = moved[v.Servers[k].Address]
+		}
+		for _, x := range v.Indexes {
+			for _, s := range x.Shards {
+				for k := range s.Servers {
+					s.Servers[k] = moved[s.Servers[k]]
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) write(name string, v any) string {
+	f.t.Helper()
+	raw, err := json.Marshal(v)
+	is.New(f.t).NoErr(err)
+	path := filepath.Join(f.dir, name)
+	is.New(f.t).NoErr(os.WriteFile(path, raw, 0o600))
+	return path
+}
+
+func (f *fleet) addNode(i int) {
+	p := &process{
+		name: fmt.Sprintf("entry-%d", i+1), domain: domains[i%3],
+		caller: f.address(i+1, 7000), peer: f.address(i+1, 7100), ops: f.address(i+1, 7200),
+	}
+	none := 0.0
+	s := conf.Settings{
+		Name: p.name, FailureDomain: p.domain, Region: "proof", CallerAddress: p.caller, PeerAddress: p.peer, OpsAddress: p.ops,
+		Platform: "http://" + f.platform.String(), FleetKeys: []string{"000102030405060708090a0b0c0d0e0f"},
+		KeepFor: wire.Duration(time.Second), Log: conf.Log{Level: "ERROR", DecisionSample: &none},
+	}
+	p.args = []string{"serve", "--settings", f.write(p.name+".json", s)}
+	f.nodes = append(f.nodes, p)
+	f.start(p)
+}
+
+// start starts the process. It is ended with the test.
+func (f *fleet) start(p *process) {
+	f.t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command = exec.CommandContext(context.WithoutCancel(f.t.Context()), f.binary, p.args...)
+	p.command.Stdout, p.command.Stderr = &p.log, &p.log
+	if err := p.command.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	p.begun = time.Now()
+	p.life++
+	if p.life == 1 {
+		f.t.Cleanup(func() {
+			p.kill()
+			if f.t.Failed() {
+				f.t.Logf("last lines of %s:\n%s", p.name, tail(p.log.String(), 2000))
+			}
+		})
+	}
+}
+
+func tail(s string, size int) string { return s[max(0, len(s)-size):] }
+
+// kill ends the process by its id and waits for its end.
+func (p *process) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.command.Process.Kill()
+	_ = p.command.Wait()
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
+
+// lifeName names the present incarnation of the node in histories.
+func (p *process) lifeName() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Sprintf("%s#%d", p.name, p.life)
+}
+
+var client = &http.Client{Timeout: 2 * time.Second}
+
+// get decodes the JSON answer into v and reports whether there was one.
+func (f *fleet) get(a netip.AddrPort, path string, v any) bool {
+	return request(http.MethodGet, a, path, nil, v)
+}
+
+func request(method string, a netip.AddrPort, path string, body, v any) bool {
+	raw, _ := json.Marshal(body)
+	q, err := http.NewRequestWithContext(context.Background(), method, "http://"+a.String()+path, bytes.NewReader(raw))
+	if err != nil {
+		return false
+	}
+	r, err := client.Do(q)
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close()
+	got, err := io.ReadAll(r.Body)
+	if err != nil || r.StatusCode >= http.StatusMultipleChoices {
+		return false
+	}
+	return v == nil || json.Unmarshal(got, v) == nil
+}
+
+func (f *fleet) status(p *process) (s serve.Status, ok bool) {
+	ok = f.get(p.ops, "/ops/status", &s)
+	return s, ok
+}
+
+// until waits for a condition that must come true within the bound of 30 s.
+func (f *fleet) until(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("not within 30 s: %s", what)
+}
+
+// settled reports whether all nodes are ready with the newest document and each service has a home.
+func (f *fleet) settled() bool {
+	homes := 0
+	for _, p := range f.nodes {
+		s, ok := f.status(p)
+		if !ok || !s.Ready || s.Version != f.version() {
+			return false
+		}
+		homes += len(s.Homes)
+	}
+	return homes == len(f.document.Services)
+}
+
+func (f *fleet) version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.document.Version
+}
+
+// publish changes the document, raises its version and publishes it.
+func (f *fleet) publish(change func(*conf.Document)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := *f.document
+	d.FailureDomains = slices.Clone(d.FailureDomains)
+	change(&d)
+	d.Version++
+	f.presets[d.Version] = d.Preset
+	f.document = &d
+	if !request(http.MethodPut, f.platform, "/v1/config", &d, nil) {
+		f.t.Errorf("version %d was not published", d.Version)
+	}
+}
+
+func (f *fleet) setDomain(name string, state conf.DomainState) {
+	f.publish(func(d *conf.Document) {
+		for i := range d.FailureDomains {
+			if d.FailureDomains[i].Name == name {
+				d.FailureDomains[i].State = state
+			}
+		}
+	})
+}
+
+// servers returns the addresses of the backend servers, or of those of one domain.
+func (f *fleet) servers(domain string) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, v := range f.document.Services {
+		for _, b := range v.Servers {
+			if domain == "" || b.FailureDomain == domain {
+				list = append(list, b.Address)
+			}
+		}
+	}
+	return list
+}
+
+func (f *fleet) record(a netip.AddrPort) stand.Record {
+	var r stand.Record
+	f.until("the record of "+a.String(), func() bool { return f.get(a, "/v1/record", &r) })
+	return r
+}
+
+func (f *fleet) client(seed uint64) *call.Client {
+	c := call.Config{Key: stand.CallerKey, Seed: seed, Attempts: 100, Timeout: 10 * time.Second}
+	for _, p := range f.nodes {
+		c.Seeds = append(c.Seeds, p.caller)
+	}
+	k, err := call.New(c)
+	is.New(f.t).NoErr(err)
+	f.t.Cleanup(k.Close)
+	return k
+}
+
+// usage returns the CPU time and the resident memory in bytes of the process.
+func (p *process) usage() (cpu time.Duration, memory int) {
+	const tick, page = 10 * time.Millisecond, 4096 // USER_HZ and page size on Linux
+	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.command.Process.Pid))
+	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
+	var user, system, pages int
+	if len(fields) > 21 {
+		_, _ = fmt.Sscan(fields[11]+" "+fields[12]+" "+fields[21], &user, &system, &pages)
+	}
+	return time.Duration(user+system) * tick, pages * page
+}
--- /dev/null
+++ b/proof/measure_test.go
@@ -0,0 +1,151 @@
+package proof
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+const (
+	// controlBound is the objective for control bytes a second of a node at the target size.
+	controlBound = 5 << 10
+	// readBound is the number of reads a second that the platform answers for all readers.
+	readBound  = 2000
+	quietTime  = 5 * time.Second
+	configRuns = 5
+)
+
+// Guards against control traffic above its bound and a configuration that is late, with 3, 6 and 9
+// nodes, and measures what a change of the configuration, a domain that is out and a lost home cost.
+func TestFleetSizes(t *testing.T) {
+	t.Parallel()
+	for _, count := range []int{3, 6, 9} {
+		t.Run(fmt.Sprint(count, " nodes"), func(t *testing.T) {
+			t.Parallel()
+			f := startFleet(t, count, stand.Layout{Services: 3, Servers: 6, Replicas: 3, Slots: 6, ColdSlots: 1})
+			rows := [][]string{{"nodes", fmt.Sprint(count)}}
+			rows = append(rows, f.measureControl(), f.measureConfig())
+			rows = append(rows, f.measureLoad()...)
+			table(t, rows)
+		})
+	}
+}
+
+// measureControl returns the control bytes a second that each node sends in a steady state.
+func (f *fleet) measureControl() []string {
+	sent := func() []uint64 {
+		var list []uint64
+		for _, p := range f.nodes {
+			s, ok := f.status(p)
+			is.New(f.t).True(ok)
+			list = append(list, s.Control.SentBytes)
+		}
+		return list
+	}
+	time.Sleep(quietTime) // joining has ended
+	before, begin := sent(), time.Now()
+	time.Sleep(quietTime)
+	after, took := sent(), time.Since(begin)
+	var rates []int
+	for i := range after {
+		rates = append(rates, int(float64(after[i]-before[i])/took.Seconds()))
+	}
+	is.New(f.t).True(slices.Max(rates) <= controlBound)
+	return []string{"control bytes a second of each node", fmt.Sprint(rates)}
+}
+
+// measureConfig returns the times for a change to reach all nodes, and the reads that it costs.
+func (f *fleet) measureConfig() []string {
+	is := is.New(f.t)
+	reads := func() (r stand.Reads) {
+		is.True(f.get(f.platform, "/v1/reads", &r))
+		return r
+	}
+	var times []time.Duration
+	before, begin := reads(), time.Now()
+	for range configRuns {
+		start := time.Now()
+		f.publish(func(d *conf.Document) { d.Preset = "peak" })
+		f.until("the change at all nodes", func() bool {
+			for _, p := range f.nodes {
+				if s, ok := f.status(p); !ok || s.Version != f.version() {
+					return false
+				}
+			}
+			return true
+		})
+		times = append(times, time.Since(start).Round(time.Millisecond))
+	}
+	after := reads()
+	is.True(slices.Max(times) <= objective)
+	is.True(after.MostInSecond <= readBound)
+	rate := float64(after.Total-before.Total) / time.Since(begin).Seconds()
+	return []string{"configuration to all nodes; reads for 5 changes, a second, busiest second", fmt.Sprint(
+		times, "; ", after.Total-before.Total, ", ", int(rate), ", ", after.MostInSecond)}
+}
+
+// measureLoad takes a domain out and kills a home, with callers.
+func (f *fleet) measureLoad() [][]string {
+	is := is.New(f.t)
+	c := f.callers(defaultSeed, 4, 4)
+	time.Sleep(2 * time.Second)
+	f.setDomain(domains[0], conf.DomainOut)
+	out := time.Now()
+	time.Sleep(objective + time.Second)
+	var last time.Duration
+	for _, a := range f.servers(domains[0]) {
+		for _, r := range f.record(a).Shards {
+			last = max(last, r.At.Sub(out))
+		}
+	}
+	is.True(last <= objective)
+	f.setDomain(domains[0], conf.DomainIn)
+	f.until("the domain is back", f.settled)
+	time.Sleep(time.Second)
+	home := f.nodes[slices.IndexFunc(f.nodes, func(p *process) bool { s, _ := f.status(p); return len(s.Homes) > 0 })]
+	service := ""
+	if s, ok := f.status(home); ok {
+		service = s.Homes[0].Service
+	}
+	home.kill()
+	killed := time.Now()
+	f.until("another home", func() bool {
+		for _, p := range f.nodes {
+			s, _ := f.status(p)
+			for _, h := range s.Homes {
+				if p != home && h.Service == service {
+					return true
+				}
+			}
+		}
+		return false
+	})
+	without := time.Since(killed)
+	time.Sleep(2 * time.Second)
+	c.stop()
+	c.settle()
+	is.Equal(c.wrong, nil)
+	records := map[string]stand.Record{}
+	for _, a := range f.servers("") {
+		records[a.String()] = f.record(a)
+	}
+	doubled := c.reconcile(records)
+	c.orders.check(f.t, "orders", orderModel)
+	checkCold(f.t, records)
+	return [][]string{
+		{"last work in a domain after it was published as out", last.Round(time.Millisecond).String()},
+		{"time without a home after a kill", without.Round(10 * time.Millisecond).String()},
+		{"longest time without answers of a service after it", c.longestGap(killed, 5*time.Second).Round(10 * time.Millisecond).String()},
+		{"queries: sent, answered, refused", fmt.Sprint(c.queries, " ", c.answered, " ", c.refused)},
+		{"orders: answered, refused, unknown, doubled", fmt.Sprint(
+			c.count(wire.Answered), " ", c.count(wire.Refused), " ", c.count(wire.Unknown), " ", doubled)},
+		{"CPU, memory of each node", f.usages()},
+	}
+}
