--- a/sched/done.go
+++ b/sched/done.go
@@ -155,6 +155,10 @@
 	t.open = false
 	t.job.open--
 	s.uncommit(t)
+	// Also an attempt that was cancelled before may run.
+	if len(t.attempts) > 0 {
+		t.job.sent = true
+	}
 	for _, a := range t.attempts {
 		s.cancel(a, out)
 	}
@@ -251,20 +255,12 @@
 		if !t.open {
 			continue
 		}
-		s.markRunning(t)
 		s.close(t, out)
 		j.missing = append(j.missing, Missing{Shard: t.Shard, Reason: reason})
 	}
 	s.finish(now, j, nil, out)
 }
 
-// markRunning records that the end of the request leaves attempts that may run.
-func (s *Slice) markRunning(t *task) {
-	if len(t.attempts) > 0 {
-		t.job.sent = true
-	}
-}
-
 // expire ends a request at its deadline.
 func (s *Slice) expire(now time.Time, j *job, out *Actions) {
 	if j.ended {
@@ -295,7 +291,6 @@
 		if !t.open {
 			continue
 		}
-		s.markRunning(t)
 		s.close(t, out)
 	}
 	s.holds.Add(now.Sub(j.started))
@@ -323,6 +318,7 @@
 	delete(s.jobs, j.id)
 	if f != nil {
 		f.RequestID = j.RequestID
+		f.NotRun = f.NotRun && !j.sent
 	}
 	out.Finished = append(out.Finished, Finished{
 		Job: j.id, Failure: f, Missing: j.missing, Sent: j.sent, Stale: j.stale,
--- a/serve/node_test.go
+++ b/serve/node_test.go
@@ -52,6 +52,14 @@
 	for _, n := range v.nodes {
 		v.until(n.settings.Name+" ready", n.Ready)
 	}
+	want := max(1, layout.Services) * max(1, layout.Slices)
+	v.until("a home for each slice", func() bool {
+		homes := 0
+		for _, n := range v.nodes {
+			homes += len(n.Status().Homes)
+		}
+		return homes == want
+	})
 	return v
 }
 
@@ -107,11 +115,11 @@
 	f.t.Fatalf("not within 10 s: %s", what)
 }
 
-func (f *testFleet) call(n *Node, method, path string, body, answer any) (int, *wire.Failure) {
+func (f *testFleet) post(n *Node, path string, body, answer any) (int, *wire.Failure) {
 	f.t.Helper()
 	raw, err := json.Marshal(body)
 	is.New(f.t).NoErr(err)
-	q, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+n.CallerAddress().String()+path, bytes.NewReader(raw))
+	q, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+n.CallerAddress().String()+path, bytes.NewReader(raw))
 	is.New(f.t).NoErr(err)
 	q.Header.Set("Authorization", "Bearer "+stand.CallerKey)
 	return f.send(q, answer)
@@ -141,7 +149,7 @@
 	for i, n := range f.nodes {
 		var a wire.Answer
 		f.until("answer", func() bool {
-			status, v := f.call(n, http.MethodPost, "/v1/services/service-0/query", wire.Query{Kind: "lookup", Query: fmt.Sprint("q", i)}, &a)
+			status, v := f.post(n, "/v1/services/service-0/query", wire.Query{Kind: "lookup", Query: fmt.Sprint("q", i)}, &a)
 			if v != nil {
 				t.Log(status, v)
 			}
