--- a/main.go
+++ b/main.go
@@ -73,6 +73,7 @@
 		newStandin,
 		newLoad,
 		newDemo,
+		newTrial,
 	} {
 		x := c(s, flags)
 		exec := x.Exec
--- a/query/merge.go
+++ b/query/merge.go
@@ -15,17 +15,19 @@
 type Merge struct {
 	plan    *Plan
 	settled map[int]bool
-	top     *Top
-	answer  wire.Answer
-	sent    bool
-	stale   bool
-	reason  wire.Reason
+	// open is used by check only; one map for all parts saves an allocation for each.
+	open   map[string]bool
+	top    *Top
+	answer wire.Answer
+	sent   bool
+	stale  bool
+	reason wire.Reason
 }
 
 // NewMerge returns an empty merge for the plan.
 func NewMerge(p *Plan) *Merge {
 	return &Merge{
-		plan: p, settled: make(map[int]bool, len(p.Index.Parts)), top: NewTop(p.Query.TopK),
+		plan: p, settled: make(map[int]bool, len(p.Index.Parts)), open: make(map[string]bool), top: NewTop(p.Query.TopK),
 		answer: wire.Answer{
 			RequestID: p.Query.RequestID, Outcome: wire.Answered, IndexVersion: p.Index.Version,
 			Coverage: wire.Coverage{Shards: p.Index.Len(), Covered: make([]string, 0, p.Index.Len())},
@@ -59,7 +61,8 @@
 	if len(p.Hits) > m.plan.Query.TopK || len(p.Covered)+len(p.Missing) != len(part.Shards) {
 		return ErrForeignPartial
 	}
-	open := make(map[string]bool, len(part.Shards))
+	clear(m.open)
+	open := m.open
 	for _, s := range part.Shards {
 		open[s] = true
 	}
--- a/query/top.go
+++ b/query/top.go
@@ -23,20 +23,21 @@
 // Add offers hits.
 func (t *Top) Add(hits []wire.Hit) {
 	for i := range hits {
-		t.add(hits[i])
+		t.add(&hits[i])
 	}
 }
 
-func (t *Top) add(h wire.Hit) {
+func (t *Top) add(h *wire.Hit) {
 	if len(t.heap) < t.limit {
-		t.heap = append(t.heap, h)
+		t.heap = append(t.heap, *h)
 		t.up(len(t.heap) - 1)
 		return
 	}
-	if t.limit == 0 || compare(h, t.heap[0]) >= 0 {
+	// Most hits of a query to many shards are below the worst kept one, so that is looked at first.
+	if t.limit == 0 || h.Score < t.heap[0].Score || compare(*h, t.heap[0]) >= 0 {
 		return
 	}
-	t.heap[0] = h
+	t.heap[0] = *h
 	t.down()
 }
 
--- a/trial/report.go
+++ b/trial/report.go
@@ -57,3 +57,15 @@
 	}
 	return text
 }
+
+// WriteComparison writes the outcomes of a replay beside those recorded.
+func WriteComparison(w io.Writer, list []Comparison) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "kind\trequests\toutcome differs\tanswered\treplayed\tp99\treplayed\tsends\treplayed")
+	for _, v := range list {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%s\t%s\t%d\t%d\n", v.Kind, v.Requests, v.Differ,
+			v.Recorded[wire.Answered], v.Replayed[wire.Answered], ms(v.RecordedP99), ms(v.ReplayedP99),
+			v.RecordedSends, v.ReplayedSends)
+	}
+	return errors.Wrap(t.Flush(), "trial: write comparison")
+}
