query: check partial results without a map for each

Cause: a profile of plan and merge of 140 shards in 14 slices shows 23% in building maps of ten shards. Change: the catalog keeps the place of a shard in its part; gathers of few shards search their list. Measured on the busy machine (load 10 to 16 of 10 cores): 140 to 80 allocations, 23.2 to 15.4 KB; the time was 71 to 108 us before and 73 to 113 us after, so the noise hides the difference.

--- a/query/catalog.go
+++ b/query/catalog.go
@@ -39,6 +39,8 @@
 	Name    string
 	Slice   int
 	Servers []netip.AddrPort
+	// place is its index in the part of its slice.
+	place int
 }
 
 // NewCatalog prepares a checked document. The document must not change afterwards.
@@ -105,7 +107,7 @@
 		n := slices[h.Servers[0]]
 		parts[n].Slice = n
 		parts[n].Shards = append(parts[n].Shards, h.Name)
-		v.shards[h.Name] = Shard{Name: h.Name, Slice: n, Servers: h.Servers}
+		v.shards[h.Name] = Shard{Name: h.Name, Slice: n, Servers: h.Servers, place: len(parts[n].Shards) - 1}
 	}
 	for _, p := range parts {
 		if len(p.Shards) > 0 {
--- a/query/gather.go
+++ b/query/gather.go
@@ -1,6 +1,8 @@
 package query
 
 import (
+	"slices"
+
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
 )
@@ -31,6 +33,9 @@
 	return nil
 }
 
+// fewShards is the number of shards up to which a search of the list costs less than a map.
+const fewShards = 16
+
 // Gather merges the shard answers of one slice. Each shard counts at most once; answers after
 // Partial are dropped.
 type Gather struct {
@@ -44,12 +49,12 @@
 
 // NewGather returns a gather for the shards that the query names.
 func NewGather(q *wire.SliceQuery) *Gather {
-	g := &Gather{
-		query: q, places: make(map[string]int, len(q.Shards)), settled: make([]bool, len(q.Shards)),
-		top: NewTop(q.TopK),
-	}
-	for i, s := range q.Shards {
-		g.places[s] = i
+	g := &Gather{query: q, settled: make([]bool, len(q.Shards)), top: NewTop(q.TopK)}
+	if len(q.Shards) > fewShards {
+		g.places = make(map[string]int, len(q.Shards))
+		for i, s := range q.Shards {
+			g.places[s] = i
+		}
 	}
 	g.partial = wire.SlicePartial{
 		RequestID: q.RequestID, Slice: q.Slice, IndexVersion: q.IndexVersion,
@@ -77,14 +82,25 @@
 }
 
 func (g *Gather) settle(shard string) bool {
-	i, ok := g.places[shard]
-	if !ok || g.ended || g.settled[i] {
+	i := g.place(shard)
+	if i < 0 || g.ended || g.settled[i] {
 		return false
 	}
 	g.settled[i] = true
 	return true
 }
 
+// place returns the index of the shard in the query, or -1.
+func (g *Gather) place(shard string) int {
+	if g.places == nil {
+		return slices.Index(g.query.Shards, shard)
+	}
+	if i, ok := g.places[shard]; ok {
+		return i
+	}
+	return -1
+}
+
 // Partial ends the gather and returns the merged result. Shards that are neither accepted nor
 // missing count as late.
 func (g *Gather) Partial() wire.SlicePartial {
--- a/query/merge.go
+++ b/query/merge.go
@@ -15,8 +15,8 @@
 type Merge struct {
 	plan    *Plan
 	settled map[int]bool
-	// open is used by check only; one map for all parts saves an allocation for each.
-	open   map[string]bool
+	// seen is used by check only; one list for all parts saves an allocation for each.
+	seen   []bool
 	top    *Top
 	answer wire.Answer
 	sent   bool
@@ -27,7 +27,7 @@
 // NewMerge returns an empty merge for the plan.
 func NewMerge(p *Plan) *Merge {
 	return &Merge{
-		plan: p, settled: make(map[int]bool, len(p.Index.Parts)), open: make(map[string]bool), top: NewTop(p.Query.TopK),
+		plan: p, settled: make(map[int]bool, len(p.Index.Parts)), top: NewTop(p.Query.TopK),
 		answer: wire.Answer{
 			RequestID: p.Query.RequestID, Outcome: wire.Answered, IndexVersion: p.Index.Version,
 			Coverage: wire.Coverage{Shards: p.Index.Len(), Covered: make([]string, 0, p.Index.Len())},
@@ -61,26 +61,30 @@
 	if len(p.Hits) > m.plan.Query.TopK || len(p.Covered)+len(p.Missing) != len(part.Shards) {
 		return ErrForeignPartial
 	}
-	clear(m.open)
-	open := m.open
-	for _, s := range part.Shards {
-		open[s] = true
-	}
-	for _, s := range p.Covered {
-		if !open[s] {
+	m.seen = append(m.seen[:0], make([]bool, len(part.Shards))...)
+	for _, name := range p.Covered {
+		if !m.see(part, name) {
 			return ErrForeignPartial
 		}
-		delete(open, s)
 	}
-	for _, s := range p.Missing {
-		if !open[s.Shard] {
+	for i := range p.Missing {
+		if !m.see(part, p.Missing[i].Shard) {
 			return ErrForeignPartial
 		}
-		delete(open, s.Shard)
 	}
 	return nil
 }
 
+// see reports whether the shard belongs to the part and is listed for the first time.
+func (m *Merge) see(part Part, name string) bool {
+	h, ok := m.plan.Index.shards[name]
+	if !ok || h.Slice != part.Slice || m.seen[h.place] {
+		return false
+	}
+	m.seen[h.place] = true
+	return true
+}
+
 // Lose records that a part has no result. Sent tells whether its home may have sent shard
 // requests.
 func (m *Merge) Lose(part Part, f *wire.Failure) {
