sched: count cancelled attempts that have not ended as sent

Cause: 984 random sequences found a query refused as not run while a cancelled attempt of it was still in flight: only the open tasks of a request were looked at when it ended. Change: a request may have run if any of its attempts has not ended, and its refusal says so. Measured: the failing sequence passes.

--- a/sched/canary.go
+++ b/sched/canary.go
@@ -75,7 +75,6 @@
 	if !d.Until.IsZero() {
 		f = f.After(d.Until.Sub(now))
 	}
-	f.NotRun = !j.sent
 	s.refuse(j, f, out)
 }
 
--- a/sched/done.go
+++ b/sched/done.go
@@ -248,18 +248,24 @@
 		if !t.open {
 			continue
 		}
-		s.markRunning(t)
 		s.close(t, out)
 		j.missing = append(j.missing, Missing{Shard: t.Shard, Reason: reason})
 	}
 	s.finish(now, j, nil, out)
 }
 
-// markRunning records that the end of the request leaves attempts that may run.
-func (s *Slice) markRunning(t *task) {
-	if len(t.attempts) > 0 {
-		t.job.sent = true
+// mayHaveRun reports whether a byte of the request may have reached a backend server. Attempts that are
+// cancelled but have not ended count.
+func (j *job) mayHaveRun() bool {
+	if j.sent {
+		return true
+	}
+	for _, t := range j.tasks {
+		if len(t.attempts) > 0 {
+			return true
+		}
 	}
+	return false
 }
 
 // expire ends a request at its deadline.
@@ -292,7 +298,6 @@
 		if !t.open {
 			continue
 		}
-		s.markRunning(t)
 		s.close(t, out)
 	}
 	s.holds.Add(now.Sub(j.started))
@@ -317,9 +322,11 @@
 
 func (s *Slice) end(j *job, f *wire.Failure, out *Actions) {
 	j.ended = true
+	j.sent = j.mayHaveRun()
 	delete(s.jobs, j.id)
 	if f != nil {
 		f.RequestID = j.RequestID
+		f.NotRun = f.NotRun && !j.sent
 	}
 	out.Finished = append(out.Finished, Finished{
 		Job: j.id, Failure: f, Missing: j.missing, Sent: j.sent, Stale: j.stale,
