--- a/trial/objective_test.go
+++ b/trial/objective_test.go
@@ -63,6 +63,7 @@
 			t.Logf("p99 %v, oracle %v, extra %.2f%%", ours.P99.Std(), oracle.P99.Std(), 100*ours.Extra)
 			is.True(float64(ours.P99) <= mostTail*float64(oracle.P99)) // tail at most 1.2x the oracle
 			is.True(ours.Extra <= mostExtra)                           // at most 2% extra shard requests
+			is.True(ours.Hedges <= c.Preset.HedgeBudget)               // hedges within their budget
 		})
 	}
 }
@@ -131,9 +132,12 @@
 	checkRamp(t, Ramp(false))
 }
 
-// Guards against the same at the first cold start that a scheduler sees.
+// Guards against the same at the first cold start that a scheduler sees: without a warm latency, and of
+// a domain that returns.
 func TestFirstRampObjective(t *testing.T) {
-	checkRamp(t, Ramp(true))
+	for _, c := range []Case{Ramp(true), DomainLoaded()} {
+		t.Run(c.Name, func(t *testing.T) { checkRamp(t, c) })
+	}
 }
 
 func checkRamp(t *testing.T, c Case) {
