--- a/back/exchange.go
+++ b/back/exchange.go
@@ -119,12 +119,14 @@
 		r.Wait = time.Since(start)
 		if err != nil {
 			r.Refused = refused(err)
+			r.Local = errors.Is(err, errCanceled) || errors.Is(err, errNoSlot) && !p.dials()
 			r.fail(Unsent, err.Error())
 			return r
 		}
 		// A VM that resumes from a pause must not send an order whose time has passed.
 		if ctx.Err() != nil || r.Wait >= remaining || k.bootTime(q)-boot >= remaining {
 			p.put(c)
+			r.Local = true
 			r.fail(Unsent, "back: the deadline passed or the request was canceled before it was sent")
 			return r
 		}
--- a/back/result.go
+++ b/back/result.go
@@ -64,6 +64,9 @@
 	Fresh bool
 	// Refused means that the server refused or reset a connection.
 	Refused bool
+	// Local means that an Unsent attempt ended here, for want of a free connection under the cap or
+	// by its cancellation. It says nothing about the server.
+	Local bool
 	// MayHaveRun is false when the server certainly did not and will not run the request.
 	MayHaveRun bool
 	// Wait is the time until a connection was available.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -53,7 +53,10 @@
 	// order lists the leases in a fixed order, so that the same input gives the same output.
 	order []*lease
 	round uint64
-	batch batch
+	// claims, answers and releases collect lease items by destination, each kind by itself.
+	claims   batch
+	answers  batch
+	releases batch
 
 	vms       map[netip.AddrPort]wire.VMState
 	contacts  []netip.AddrPort
@@ -99,6 +102,7 @@
 		return n.take()
 	}
 	n.hearConfig(from, m)
+	m.Leases = m.items()
 	for _, u := range m.Updates {
 		n.update(from, u, true)
 	}
--- a/sched/done.go
+++ b/sched/done.go
@@ -75,6 +75,9 @@
 		s.failed(now, v, out)
 		s.turnCold(now, v, limit.ColdConnection, out)
 	case Unsent, Broken:
+		if r.Local {
+			return
+		}
 		s.failed(now, v, out)
 		s.turnCold(now, v, limit.ColdConnection, out)
 	case TimedOut:
--- a/serve/home.go
+++ b/serve/home.go
@@ -323,7 +323,7 @@
 
 func result(r back.Result) sched.Result {
 	return sched.Result{
-		Class: classes[r.Class], Reason: r.Reason, Incarnation: r.Incarnation, Warm: r.Warm, Draining: r.Draining,
+		Class: classes[r.Class], Reason: r.Reason, Local: r.Local, Incarnation: r.Incarnation, Warm: r.Warm, Draining: r.Draining,
 		Detail: r.Message,
 	}
 }
--- a/serve/node_test.go
+++ b/serve/node_test.go
@@ -22,27 +22,31 @@
 // testFleet is a platform, backend servers and nodes on loopback.
 type testFleet struct {
 	*stand.Fleet
-	t      *testing.T
-	change func(*conf.Settings)
-	nodes  []*Node
-	ends   []context.CancelFunc
+	t     *testing.T
+	nodes []*Node
+	ends  map[*Node]context.CancelFunc
 }
 
 func startFleet(t *testing.T, layout stand.Layout, domains ...string) *testFleet {
 	t.Helper()
-	return startFleetWith(t, layout, func(*conf.Settings) {}, domains...)
+	return startFleetWith(t, layout, stand.ServerConfig{StartWarm: true}, domains...)
 }
 
-func startFleetWith(t *testing.T, layout stand.Layout, change func(*conf.Settings), domains ...string) *testFleet {
+func startFleetWith(t *testing.T, layout stand.Layout, server stand.ServerConfig, domains ...string) *testFleet {
 	t.Helper()
-	f, err := stand.StartFleet(t.Context(), stand.FleetConfig{
-		Layout: layout, Server: stand.ServerConfig{StartWarm: true}, Seed: 1,
-	})
+	return startFleetSettings(t, layout, server, func(*conf.Settings) {}, domains...)
+}
+
+func startFleetSettings(
+	t *testing.T, layout stand.Layout, server stand.ServerConfig, change func(*conf.Settings), domains ...string,
+) *testFleet {
+	t.Helper()
+	f, err := stand.StartFleet(t.Context(), stand.FleetConfig{Layout: layout, Server: server, Seed: 1})
 	is.New(t).NoErr(err)
-	v := &testFleet{Fleet: f, t: t, change: change}
+	v := &testFleet{Fleet: f, t: t, ends: map[*Node]context.CancelFunc{}}
 	t.Cleanup(v.close)
 	for i, d := range domains {
-		v.start(fmt.Sprintf("node-%d", i), d)
+		v.startWith(fmt.Sprintf("node-%d", i), d, change)
 	}
 	v.list()
 	for _, n := range v.nodes {
@@ -52,23 +56,27 @@
 }
 
 func (f *testFleet) start(name, domain string) *Node {
+	return f.startWith(name, domain, func(*conf.Settings) {})
+}
+
+func (f *testFleet) startWith(name, domain string, change func(*conf.Settings)) *Node {
 	any0 := netip.MustParseAddrPort("127.0.0.1:0")
 	s := &conf.Settings{
 		Name: name, FailureDomain: domain, Region: "region", CallerAddress: any0, PeerAddress: any0, OpsAddress: any0,
 		Platform: f.URL, FleetKeys: []string{"000102030405060708090a0b0c0d0e0f"}, KeepFor: wire.Duration(200 * time.Millisecond),
 		Limits: conf.Limits{
-			BodyBytes: 1 << 20, AnswerBytes: 1 << 20, TopK: 100, CallerConnections: 100, OrderKeyBatch: 100, OrderKeys: 1000,
+			BodyBytes: 1 << 20, AnswerBytes: 1 << 20, TopK: 100, CallerConnections: 100, OrderKeyBatch: 100, OrderKeys: 100_000,
 			Decisions: 1000,
 		},
 	}
-	f.change(s)
-	level := slog.LevelWarn
+	change(s)
+	level := slog.LevelError + 1
 	n, err := New(Config{Settings: s, Log: slog.New(slog.NewTextHandler(f.t.Output(), &slog.HandlerOptions{Level: level}))})
 	is.New(f.t).NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() { _ = n.Run(ctx) }()
 	f.nodes = append(f.nodes, n)
-	f.ends = append(f.ends, cancel)
+	f.ends[n] = cancel
 	return n
 }
 
@@ -106,6 +114,12 @@
 	q, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+n.CallerAddress().String()+path, bytes.NewReader(raw))
 	is.New(f.t).NoErr(err)
 	q.Header.Set("Authorization", "Bearer "+stand.CallerKey)
+	return f.send(q, answer)
+}
+
+// send returns the failure of a request that is not answered, and decodes an answer.
+func (f *testFleet) send(q *http.Request, answer any) (int, *wire.Failure) {
+	f.t.Helper()
 	r, err := http.DefaultClient.Do(q)
 	is.New(f.t).NoErr(err)
 	defer r.Body.Close()
