--- a/trial/objective_test.go
+++ b/trial/objective_test.go
@@ -4,7 +4,6 @@
 	"runtime"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 )
@@ -57,7 +56,6 @@
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			c.Duration = 7 * time.Second
 			all := runAll(c, testSeeds(10), InUse(), Oracle())
 			ours, oracle := Pool(all[0]), Pool(all[1])
 			t.Logf("p99 %v, oracle %v, extra %.2f%%", ours.P99.Std(), oracle.P99.Std(), 100*ours.Extra)
