--- a/sched/admit.go
+++ b/sched/admit.go
@@ -44,6 +44,9 @@
 	// paused means that a retry timer will launch the task.
 	paused   bool
 	attempts []*attempt
+	// replicas are the servers of the task as of the time that the slice counted so many moves.
+	replicas []*server
+	moves    uint64
 	// shares are the servers on which the task's expected load is counted.
 	shares []*server
 	// tried are servers that failed this task; others are preferred.
@@ -71,9 +74,16 @@
 	}
 	j.tasks = make([]*task, len(r.Tasks))
 	backing := make([]task, len(r.Tasks))
+	places := 0
 	for i := range r.Tasks {
 		backing[i] = task{Task: r.Tasks[i], job: j, open: true}
 		j.tasks[i] = &backing[i]
+		places += len(r.Tasks[i].Servers)
+	}
+	// One list for the replicas of all tasks saves an allocation for each.
+	list := make([]*server, places)
+	for _, t := range j.tasks {
+		t.replicas, list = list[:0:len(t.Servers)], list[len(t.Servers):]
 	}
 	s.timers.add(timer{at: r.Deadline, kind: deadlineTimer, job: j})
 	evicted, full := s.queue.Push(uint64(j.id), r.Worth, r.Deadline, j)
@@ -156,6 +166,22 @@
 	}
 }
 
+// replicas returns the servers of the task that the slice knows. Looking them up for each decision
+// would cost more than the decision.
+func (s *Slice) replicas(t *task) []*server {
+	if t.moves == s.moves {
+		return t.replicas
+	}
+	t.moves = s.moves
+	t.replicas = t.replicas[:0]
+	for _, a := range t.Servers {
+		if v := s.servers[a]; v != nil {
+			t.replicas = append(t.replicas, v)
+		}
+	}
+	return t.replicas
+}
+
 // fits reports whether each shard's replicas are expected to be free within waitShare of the
 // request's remaining time. The wait is that of the work above what the replicas run at once, at the
 // rate at which they answer. A slow server lengthens its own shard's wait only, and a canary that
@@ -177,9 +203,8 @@
 // replicaWait is the time until the replicas of the task have room for one more request.
 func (s *Slice) replicaWait(t *task) time.Duration {
 	load, room, rate := 0.0, 0.0, 0.0
-	for _, a := range t.Servers {
-		v := s.servers[a]
-		if v == nil || !v.usable() {
+	for _, v := range s.replicas(t) {
+		if !v.usable() {
 			continue
 		}
 		slots := float64(v.permits.Allowance())
@@ -223,8 +248,8 @@
 
 func (s *Slice) commit(t *task) {
 	share := s.share(&t.Task)
-	for _, a := range t.Servers {
-		if v := s.servers[a]; v != nil && v.usable() {
+	for _, v := range s.replicas(t) {
+		if v.usable() {
 			v.committed += share
 			t.shares = append(t.shares, v)
 		}
--- a/sched/canary.go
+++ b/sched/canary.go
@@ -54,8 +54,8 @@
 			continue
 		}
 		n := 0
-		for _, a := range t.Servers {
-			if v := s.servers[a]; v != nil && v.usable() && s.preferred(now, t, v) && !v.permits.Cold() {
+		for _, v := range s.replicas(t) {
+			if v.usable() && s.preferred(now, t, v) && !v.permits.Cold() {
 				n++
 			}
 		}
--- a/sched/done.go
+++ b/sched/done.go
@@ -158,8 +158,8 @@
 	for _, a := range t.attempts {
 		s.cancel(a, out)
 	}
-	for _, a := range t.Servers {
-		if v := s.servers[a]; v != nil && v.reserved == t {
+	for _, v := range s.replicas(t) {
+		if v.reserved == t {
 			v.reserved = nil
 		}
 	}
@@ -221,8 +221,8 @@
 }
 
 func (s *Slice) hasFresh(now time.Time, t *task) bool {
-	for _, a := range t.Servers {
-		if v := s.servers[a]; v != nil && v.usable() && s.preferred(now, t, v) {
+	for _, v := range s.replicas(t) {
+		if v.usable() && s.preferred(now, t, v) {
 			return true
 		}
 	}
--- a/sched/send.go
+++ b/sched/send.go
@@ -53,9 +53,8 @@
 // earlier attempt there has not ended, because a late cancellation would end both.
 func (s *Slice) candidates(now time.Time, t *task, hedge bool) int {
 	usable, preferred := 0, 0
-	for _, a := range t.Servers {
-		v := s.servers[a]
-		if v == nil || !v.usable() {
+	for _, v := range s.replicas(t) {
+		if !v.usable() {
 			continue
 		}
 		usable++
@@ -64,9 +63,8 @@
 		}
 	}
 	s.cands, s.places = s.cands[:0], s.places[:0]
-	for _, a := range t.Servers {
-		v := s.servers[a]
-		if v == nil || !v.usable() {
+	for _, v := range s.replicas(t) {
+		if !v.usable() {
 			continue
 		}
 		if (preferred > 0 || hedge) && !s.preferred(now, t, v) {
@@ -76,7 +74,7 @@
 			continue
 		}
 		s.cands = append(s.cands, route.Candidate{
-			Server: a, Latency: v.latency(now), Outstanding: v.permits.InUse(),
+			Server: v.address, Latency: v.latency(now), Outstanding: v.permits.InUse(),
 			Allowance: v.allowance(now), Cold: v.permits.Cold(),
 		})
 		s.places = append(s.places, v)
@@ -137,8 +135,8 @@
 
 // wait queues the task at its usable replicas until one of them has a free permit.
 func (s *Slice) wait(t *task) {
-	for _, a := range t.Servers {
-		if v := s.servers[a]; v != nil && v.usable() {
+	for _, v := range s.replicas(t) {
+		if v.usable() {
 			v.waiting = append(v.waiting, t)
 		}
 	}
--- a/sched/server.go
+++ b/sched/server.go
@@ -86,6 +86,7 @@
 			delete(s.servers, a)
 		}
 	}
+	s.moves++
 	s.outlier.SetServers(s.addresses())
 	s.rewait(now, &out)
 	s.pump(now, &out)
--- a/sched/slice.go
+++ b/sched/slice.go
@@ -86,8 +86,10 @@
 	lease    time.Time
 	draining bool
 	lastID   uint64
-	cands    []route.Candidate
-	places   []*server
+	// moves counts the changes of the set of servers.
+	moves  uint64
+	cands  []route.Candidate
+	places []*server
 }
 
 // New returns a slice without servers and without a lease.
@@ -106,6 +108,7 @@
 		outlier:   route.NewOutlier(c.Outlier),
 		guard:     guard.New[JobID](c.Guard),
 		rand:      rand.New(rand.NewPCG(c.Seed, c.Seed+1)),
+		moves:     1,
 	}
 }
 
--- a/trial/events.go
+++ b/trial/events.go
@@ -1,9 +1,6 @@
 package trial
 
-import (
-	"container/heap"
-	"time"
-)
+import "time"
 
 // event is a step of a run. Events at the same time keep the order in which they were added.
 type event struct {
@@ -12,6 +9,15 @@
 	do    func()
 }
 
+func (e *event) before(o *event) bool {
+	if e.at != o.at {
+		return e.at < o.at
+	}
+	return e.order < o.order
+}
+
+// events is a heap with the next event in front. It does not use container/heap, which allocates for
+// each event.
 type events struct {
 	list []event
 	last uint64
@@ -19,29 +25,50 @@
 
 func (q *events) add(at time.Duration, do func()) {
 	q.last++
-	heap.Push(q, event{at: at, order: q.last, do: do})
+	e := event{at: at, order: q.last, do: do}
+	q.list = append(q.list, e)
+	i := len(q.list) - 1
+	for i > 0 {
+		p := (i - 1) / 2
+		if !e.before(&q.list[p]) {
+			break
+		}
+		q.list[i] = q.list[p]
+		i = p
+	}
+	q.list[i] = e
 }
 
 func (q *events) next() (event, bool) {
 	if len(q.list) == 0 {
 		return event{}, false
 	}
-	return heap.Pop(q).(event), true
+	first, n := q.list[0], len(q.list)-1
+	last := q.list[n]
+	q.list[n] = event{}
+	q.list = q.list[:n]
+	if n > 0 {
+		q.sink(last)
+	}
+	return first, true
 }
 
-func (q *events) Len() int { return len(q.list) }
-func (q *events) Less(i, j int) bool {
-	if q.list[i].at != q.list[j].at {
-		return q.list[i].at < q.list[j].at
+// sink puts an event in the place of the first one and moves it down.
+func (q *events) sink(e event) {
+	i := 0
+	for {
+		c := 2*i + 1
+		if c >= len(q.list) {
+			break
+		}
+		if c+1 < len(q.list) && q.list[c+1].before(&q.list[c]) {
+			c++
+		}
+		if !q.list[c].before(&e) {
+			break
+		}
+		q.list[i] = q.list[c]
+		i = c
 	}
-	return q.list[i].order < q.list[j].order
-}
-func (q *events) Swap(i, j int) { q.list[i], q.list[j] = q.list[j], q.list[i] }
-func (q *events) Push(x any)    { q.list = append(q.list, x.(event)) }
-func (q *events) Pop() any {
-	n := len(q.list) - 1
-	e := q.list[n]
-	q.list[n] = event{}
-	q.list = q.list[:n]
-	return e
+	q.list[i] = e
 }
