--- a/serve/metric.go
+++ b/serve/metric.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"time"
 
 	client "github.com/prometheus/client_golang/prometheus"
@@ -18,7 +20,10 @@
 
 // Metrics are the counters and timers of a node.
 type Metrics struct {
-	scope   tally.Scope
+	scope tally.Scope
+	// counters keeps the counters by name and tags, because tagging a scope for each shard request
+	// costs more than counting.
+	counters sync.Map
 	closer  io.Closer
 	handler http.Handler
 }
@@ -38,7 +43,12 @@
 
 // Count adds one to a counter with tags given as name and value in turn.
 func (m *Metrics) Count(name string, tags ...string) {
-	m.scope.Tagged(tagMap(tags)).Counter(name).Inc(1)
+	key := name + "\x00" + strings.Join(tags, "\x00")
+	c, ok := m.counters.Load(key)
+	if !ok {
+		c, _ = m.counters.LoadOrStore(key, m.scope.Tagged(tagMap(tags)).Counter(name))
+	}
+	c.(tally.Counter).Inc(1)
 }
 
 // Time records a duration.
