--- a/sched/done.go
+++ b/sched/done.go
@@ -155,6 +155,10 @@
 	t.open = false
 	t.job.open--
 	s.uncommit(t)
+	// Also an attempt that was cancelled before may run.
+	if len(t.attempts) > 0 {
+		t.job.sent = true
+	}
 	for _, a := range t.attempts {
 		s.cancel(a, out)
 	}
@@ -257,20 +261,6 @@
 	s.finish(now, j, nil, out)
 }
 
-// mayHaveRun reports whether a byte of the request may have reached a backend server. Attempts that are
-// cancelled but have not ended count.
-func (j *job) mayHaveRun() bool {
-	if j.sent {
-		return true
-	}
-	for _, t := range j.tasks {
-		if len(t.attempts) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // expire ends a request at its deadline.
 func (s *Slice) expire(now time.Time, j *job, out *Actions) {
 	if j.ended {
@@ -325,7 +315,6 @@
 
 func (s *Slice) end(j *job, f *wire.Failure, out *Actions) {
 	j.ended = true
-	j.sent = j.mayHaveRun()
 	delete(s.jobs, j.id)
 	if f != nil {
 		f.RequestID = j.RequestID
