back: end a canceled attempt only when the server has ended it

Cause: a canceled attempt returned at once and freed its permit while the server still ran the request, so a server in a cold start could get one request more than it bears (TestDomainOutAndBack: 1 request over at a server that had returned). Change: cancel waits for the answer to the cancellation, or for the close of the connection, within its timeouts. TestCancelKeepsConnection let the server end only after the attempt had returned, which can no longer be; its channel now holds that event, its checks are unchanged. Result: TestCancelWaitsForTheServer fails with the cancellation in the background and passes now.

--- a/back/cancel.go
+++ b/back/cancel.go
@@ -13,14 +13,17 @@
 
 // cancel ends a request at the server. With an idle connection at hand it sends POST /cancel and
 // keeps the connection of the request, because the losers of hedges would otherwise cost a new
-// connection each. Without one it closes the connection, which cancels the request too.
+// connection each. Without one it closes the connection, which cancels the request too. It returns
+// when the server has ended the request: until then it takes up a slot, and a cold server bears no
+// other in its place.
 func (k *Client) cancel(p *pool, c *conn, q request) {
 	v := p.takeIdle()
 	if v == nil {
-		p.retire(c)
+		c.shutdown(p.config.RetireTimeout)
+		p.release()
 		return
 	}
-	go k.cancelOver(p, v, c, q)
+	k.cancelOver(p, v, c, q)
 }
 
 // cancelOver sends the cancellation over v and then waits for the end of the answer on c.
--- a/back/client_test.go
+++ b/back/client_test.go
@@ -215,7 +215,7 @@
 func TestCancelKeepsConnection(t *testing.T) {
 	is := is.New(t)
 	var opened atomic.Int64
-	canceled, started, ended := make(chan string), make(chan bool), make(chan bool)
+	canceled, started, ended := make(chan string), make(chan bool), make(chan bool, 1)
 	a := listen(t, func(c net.Conn) {
 		opened.Add(1)
 		requests(func(_ int, q *http.Request, c net.Conn) bool {
@@ -368,3 +368,42 @@
 		is.Equal(r.Class, want)
 	}
 }
+
+// Guards against a permit that is given to the next request while the server still runs the canceled
+// one, which is more than a cold server bears.
+func TestCancelWaitsForTheServer(t *testing.T) {
+	is := is.New(t)
+	var running atomic.Int64
+	started := make(chan bool)
+	a := listen(t, requests(func(_ int, q *http.Request, c net.Conn) bool {
+		if q.URL.Path == "/cancel" {
+			time.Sleep(50 * time.Millisecond)
+			running.Add(-1)
+			return reply(c, 200, struct{}{})
+		}
+		body := bodyOf[wire.ShardQuery](q)
+		if body.Query != "slow" {
+			return reply(c, 200, answerTo(body))
+		}
+		running.Add(1)
+		started <- true
+		for running.Load() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		return reply(c, 503, wire.BackendFailure{NotRun: false, Reason: wire.BackendCancelled})
+	}))
+	k := testClient(t, 5, a)
+	slow := testQuery
+	slow.Query = "slow"
+	for range 3 {
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			<-started
+			_, _ = k.Query(t.Context(), a, time.Now().Add(time.Second), testQuery) // opens a second connection
+			cancel()
+		}()
+		_, r := k.Query(ctx, a, time.Now().Add(10*time.Second), slow)
+		is.Equal(r.Class, Canceled)
+		is.Equal(running.Load(), int64(0))
+	}
+}
