Load the fleet of processes more, and count restarts of servers

Change: 10 ms a request, 16 callers mostly on one service, crashes that certainly happen, and the number of cold starts in the table.

--- a/proof/callers_test.go
+++ b/proof/callers_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,7 +28,8 @@
 	wrong    []string
 	queries  int
 	answered int
-	refused  map[wire.Reason]int
+	// refused counts by reason, with the reason of the first missing shard.
+	refused map[string]int
 	// answers has the times of answers of each service.
 	answers map[string][]time.Time
 	open    []openOrder
@@ -47,14 +49,18 @@
 	ctx, end := context.WithCancel(context.Background())
 	c := &callers{
 		fleet: f, client: f.client(seed), orders: newHistory(), end: end,
-		refused: map[wire.Reason]int{}, answers: map[string][]time.Time{}, known: map[string]wire.Outcome{},
+		refused: map[string]int{}, answers: map[string][]time.Time{}, known: map[string]wire.Outcome{},
 	}
 	f.t.Cleanup(c.stop)
 	for i := range queriers + orderers {
 		c.wait.Go(func() {
 			random := rand.New(rand.NewPCG(seed, uint64(i)))
 			for n := 0; ctx.Err() == nil; n++ {
-				service := fmt.Sprintf("service-%d", random.IntN(len(f.document.Services)))
+				// Most requests are for one service, so that its servers are in full use.
+				service := "service-0"
+				if random.IntN(4) == 0 {
+					service = fmt.Sprintf("service-%d", random.IntN(len(f.document.Services)))
+				}
 				if i < queriers {
 					c.query(service, fmt.Sprintf("q-%d-%d", i, n))
 				} else {
@@ -86,7 +92,8 @@
 	defer c.mu.Unlock()
 	c.queries++
 	if err != nil {
-		c.refused[wire.AsFailure(err).Reason]++
+		f := wire.AsFailure(err)
+		c.refused[string(f.Reason)+f.Detail[strings.LastIndex(f.Detail, ":")+1:]]++
 		return
 	}
 	c.answered++
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -82,7 +82,7 @@
 	f.platform = f.address(10, 7300)
 	f.document = layout.Document()
 	f.place()
-	args := []string{"standin", "--config", f.write("document.json", f.document), "--platform", f.platform.String()}
+	args := []string{"standin", "--config", f.write("document.json", f.document), "--platform", f.platform.String(), "--latency", "10ms"}
 	for i := range count {
 		args = append(args, "--node", domains[i%3]+"="+f.address(i+1, 7100).String())
 	}
--- a/proof/measure_test.go
+++ b/proof/measure_test.go
@@ -138,7 +138,7 @@
 	}
 	doubled := c.reconcile(records)
 	c.orders.check(f.t, "orders", orderModel)
-	checkCold(f.t, records)
+	_, _ = checkCold(f.t, records)
 	return [][]string{
 		{"last work in a domain after it was published as out", last.Round(time.Millisecond).String()},
 		{"time without a home after a kill", without.Round(10 * time.Millisecond).String()},
--- a/proof/proof_test.go
+++ b/proof/proof_test.go
@@ -131,10 +131,11 @@
 	request("POST", s.platform, "/v1/faults", stand.PlatformFaults{}, nil)
 }
 
-// disturbServers makes the connections of a server silent, makes it hang or shed, or crashes it.
+// disturbServers makes the connections of a server silent, makes it shed, or crashes it. Half of the
+// time it is one of the service with the most requests.
 func (s *schedule) disturbServers(r *rand.Rand) {
 	all := s.servers("")
-	a := all[r.IntN(len(all))]
+	a := all[r.IntN(len(all)/(1+2*r.IntN(2)))]
 	switch r.IntN(3) {
 	case 0:
 		s.note("silent connections")
@@ -147,7 +148,7 @@
 	default:
 		s.note("server crash")
 		request("POST", a, "/v1/faults", stand.ServerFaults{CrashMark: "-"}, nil)
-		time.Sleep(between(r, 10*time.Millisecond, 50*time.Millisecond))
+		time.Sleep(between(r, 100*time.Millisecond, 250*time.Millisecond)) // less than the restart takes
 	}
 	request("POST", a, "/v1/faults", stand.ServerFaults{}, nil)
 }
@@ -192,7 +193,7 @@
 	is := is.New(t)
 	length, seed := settings(t)
 	f := startFleet(t, 6, stand.Layout{Services: 3, Servers: 6, Replicas: 3, Slots: 6, ColdSlots: 1})
-	c := f.callers(seed, 8, 4)
+	c := f.callers(seed, 16, 4)
 	s := &schedule{fleet: f, versions: newHistory(), end: time.Now().Add(length), seed: seed, count: map[string]int{}}
 	s.run()
 	after := time.Now()
@@ -208,7 +209,7 @@
 	s.versions.check(t, "versions", versionModel)
 	is.Equal(c.wrong, nil)
 	s.checkOut(records)
-	checkCold(t, records)
+	phases, most := checkCold(t, records)
 	var reads stand.Reads
 	is.True(f.get(f.platform, "/v1/reads", &reads))
 	is.Equal(reads.Limited, uint64(0))
@@ -227,6 +228,7 @@
 		{"orders: answered, refused, unknown, doubled", fmt.Sprint(c.count(wire.Answered), " ", c.count(wire.Refused), " ", c.count(wire.Unknown), " ", doubled)},
 		{"longest time without answers of a service after each kill", strings.Join(gaps, " ")},
 		{"platform: reads, busiest second", fmt.Sprint(reads.Total, " ", reads.MostInSecond)},
+		{"restarts of servers, most requests at once in a cold start", fmt.Sprint(phases, " ", most)},
 		{"versions published", fmt.Sprint(f.version())},
 		{"CPU, memory of each node", f.usages()},
 	})
@@ -246,17 +248,21 @@
 	}
 }
 
-// checkCold looks for requests above what a restarted server bore.
-func checkCold(t *testing.T, records map[string]stand.Record) {
+// checkCold looks for requests above what a restarted server bore. It returns the number of cold
+// phases and the most requests at once in one.
+func checkCold(t *testing.T, records map[string]stand.Record) (phases, most int) {
 	t.Helper()
 	for a, r := range records {
 		for _, c := range r.Cold {
+			phases++
+			most = max(most, c.MostAtOnce)
 			if c.Cause == stand.ColdStart && c.Over > 0 {
 				t.Errorf("%s: %d requests above what the restarted server bore, %d of %d at once, the last %v after the start",
 					a, c.Over, c.MostAtOnce, c.Bears, c.LastOver.Sub(c.From))
 			}
 		}
 	}
+	return phases, most
 }
 
 func (f *fleet) usages() string {
