serve: a relay refused at the issuer's door is not the fate of the order key

Cause: an issuer refuses a relay that arrives after its deadline, unsigned, or before it is ready, as not run. The relaying node passed that on as the issuer's word on the key, so the caller took an order as refused that an earlier attempt may have run. Seen once in TestSilentPeerConnections with -race: refused, but run once. Change: such a refusal becomes Unknown with Forwarded false.

--- a/serve/order_test.go
+++ b/serve/order_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/arbutusthread/arbutusthread/order"
 	"github.com/arbutusthread/arbutusthread/stand"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
@@ -64,6 +66,27 @@
 	}
 }
 
+// Guards against a late relay that is refused at its issuer's door, and then taken for the fate of
+// the key, which an earlier attempt may have run.
+func TestRefusedRelayIsNoFate(t *testing.T) {
+	is := is.New(t)
+	o := &orders{}
+	k := order.Key{Issuer: netip.MustParseAddrPort("127.0.0.1:7100")}
+	for _, s := range []wire.Step{wire.StepDecode, wire.StepAuth, wire.StepReady} {
+		f := wire.Refuse(s, k.Issuer.String(), wire.ReasonDeadline, "")
+		f.Forwarded = true // as package peer sets it for each answer of a peer
+		f = o.relayed(f, k)
+		is.Equal(f.Outcome, wire.Unknown)
+		is.True(!f.NotRun)
+		is.True(!f.Forwarded)
+	}
+	f := wire.Refuse(wire.StepOrderKey, k.Issuer.String(), wire.ReasonKeyExpired, "")
+	f.Forwarded = true
+	f = o.relayed(f, k)
+	is.Equal(f.Outcome, wire.Refused) // the table's word
+	is.True(f.NotRun)
+}
+
 // Guards against an order that runs twice, a refusal that says "not run" of an order that ran, and
 // the loss of more than 0.1% of the orders of patient callers, with one node lost.
 func TestOrdersWithOneNodeLost(t *testing.T) {
--- a/serve/orders.go
+++ b/serve/orders.go
@@ -84,6 +84,9 @@
 	switch {
 	case f.Step == wire.StepRelay && !f.Forwarded:
 		f.Outcome, f.NotRun = wire.Unknown, false
+	case f.NotRun && f.Peer == k.Issuer.String() && beforeTable(f.Step):
+		// The issuer refused this attempt without a look at the key, which may have run before.
+		f.Outcome, f.NotRun, f.Forwarded = wire.Unknown, false, false
 	case f.Reason == wire.ReasonKeyForeign && f.Outcome == wire.Unknown:
 		// Another incarnation runs at the address of the issuer.
 		f.Forwarded = false
@@ -91,6 +94,11 @@
 	return f
 }
 
+// beforeTable reports whether a request from a peer passes the step before its key is looked up.
+func beforeTable(s wire.Step) bool {
+	return s == wire.StepDecode || s == wire.StepAuth || s == wire.StepReady
+}
+
 // here runs or looks up an order at this node and waits for its outcome until the deadline.
 func (o *orders) here(ctx context.Context, r wire.OrderRelay) (wire.OrderResult, *wire.Failure) {
 	q := order.Request{Key: r.Order.Key, Service: r.Service, Caller: r.Caller, Kind: r.Order.Kind, Body: r.Order.Body}
