--- a/back/cancel.go
+++ b/back/cancel.go
@@ -11,15 +11,15 @@
 	return errors.Is(ctx.Err(), context.Canceled)
 }
 
-// cancel ends a request at the server. With an idle connection at hand it sends POST /cancel and
-// keeps the connection of the request, because the losers of hedges would otherwise cost a new
-// connection each. Without one it closes the connection, which cancels the request too. It returns
-// when the server has ended the request: until then it takes up a slot, and a cold server bears no
-// other in its place.
+// cancel ends a request at the server and waits until it has ended there, at most for
+// CancelTimeout: a new request in its place would otherwise exceed what a cold server bears. With
+// an idle connection at hand it sends POST /cancel and keeps the connection of the request, because
+// the losers of hedges would otherwise cost a new connection each. Without one it closes the
+// connection, which cancels the request too.
 func (k *Client) cancel(p *pool, c *conn, q request) {
 	v := p.takeIdle()
 	if v == nil {
-		c.shutdown(p.config.RetireTimeout)
+		c.shutdown(k.config.CancelTimeout)
 		p.release()
 		return
 	}
@@ -42,9 +42,7 @@
 		return
 	}
 	var r Result
-	s.pool = p
 	k.exchange(context.Background(), p, v, s, &r)
-	s.settle(&r)
 	if c.raw.SetDeadline(deadline) != nil {
 		p.retire(c)
 		return
--- a/back/client.go
+++ b/back/client.go
@@ -99,20 +99,17 @@
 	scratch sync.Pool
 	mu      sync.Mutex
 	pools   atomic.Pointer[map[netip.AddrPort]*pool]
-	stop    chan struct{}
+	stop    context.CancelFunc
 	done    chan struct{}
 }
 
 // NewClient returns a client without servers. Close ends it.
 func NewClient(c Config) *Client {
-	k := &Client{
-		config: c.withDefaults(),
-		stop:   make(chan struct{}),
-		done:   make(chan struct{}),
-	}
+	ctx, stop := context.WithCancel(context.Background())
+	k := &Client{config: c.withDefaults(), stop: stop, done: make(chan struct{})}
 	k.scratch.New = func() any { return newScratch() }
 	k.pools.Store(&map[netip.AddrPort]*pool{})
-	go k.reap()
+	go k.reap(ctx)
 	return k
 }
 
@@ -150,21 +147,22 @@
 	return p.count()
 }
 
-// Close drops all servers. Requests in flight are completed.
+// Close drops all servers. Requests in flight are completed, and their connections are closed
+// after it returns. It may be called more than once.
 func (k *Client) Close() {
 	k.SetServers(nil)
-	close(k.stop)
+	k.stop()
 	<-k.done
 }
 
 // reap closes idle connections that have reached their lifetime.
-func (k *Client) reap() {
+func (k *Client) reap(ctx context.Context) {
 	defer close(k.done)
 	t := time.NewTicker(max(k.config.IdleLifetime/4, time.Millisecond))
 	defer t.Stop()
 	for {
 		select {
-		case <-k.stop:
+		case <-ctx.Done():
 			return
 		case now := <-t.C:
 			for p := range maps.Values(*k.pools.Load()) {
@@ -182,12 +180,14 @@
 	s := k.scratch.Get().(*scratch)
 	defer k.keep(s)
 	a := wire.ShardAnswer{Hits: make([]wire.Hit, 0, max(0, min(q.TopK, maxHits)))}
-	r := k.send(ctx, server, deadline, request{path: "/shard", id: q.RequestID, shard: q.Shard, body: &q}, s)
-	defer func() { s.settle(&r) }()
-	if r.Class != OK || !decode(s.in.Bytes(), &a, &r) {
-		return wire.ShardAnswer{}, r
-	}
-	matchQuery(&a, &q, &r)
+	r := k.send(ctx, server, deadline, request{
+		path: "/shard", id: q.RequestID, shard: q.Shard, body: &q,
+		accept: func(b []byte, r *Result) {
+			if decode(b, &a, r) {
+				matchQuery(&a, &q, r)
+			}
+		},
+	}, s)
 	if r.Class != OK {
 		return wire.ShardAnswer{}, r
 	}
@@ -204,18 +204,14 @@
 	s := k.scratch.Get().(*scratch)
 	defer k.keep(s)
 	var a wire.BackendOrderAnswer
-	r := k.send(ctx, server, deadline,
-		request{path: "/order", id: o.Key, shard: o.Shard, body: &o, order: true}, s)
-	defer func() { s.settle(&r) }()
-	if r.Class != OK || !decode(s.in.Bytes(), &a, &r) {
-		return wire.BackendOrderAnswer{}, r
-	}
-	switch {
-	case !a.Complete:
-		r.fail(Invalid, "back: the answer is not complete")
-	case a.Key != o.Key:
-		r.fail(Invalid, "back: the answer names another key")
-	}
+	r := k.send(ctx, server, deadline, request{
+		path: "/order", id: o.Key, shard: o.Shard, body: &o, order: true,
+		accept: func(b []byte, r *Result) {
+			if decode(b, &a, r) {
+				matchOrder(&a, &o, r)
+			}
+		},
+	}, s)
 	if r.Class != OK {
 		return wire.BackendOrderAnswer{}, r
 	}
@@ -245,13 +241,14 @@
 	s := k.scratch.Get().(*scratch)
 	defer k.keep(s)
 	var h wire.Health
-	r := k.send(ctx, server, deadline, request{path: path}, s)
-	defer func() { s.settle(&r) }()
-	if r.Class != OK || !decode(s.in.Bytes(), &h, &r) {
-		return wire.Health{}, r
-	}
-	if h.State == "" {
-		r.fail(Invalid, "back: the answer has no state")
+	r := k.send(ctx, server, deadline, request{
+		path: path, accept: func(b []byte, r *Result) {
+			if decode(b, &h, r) && h.State == "" {
+				r.fail(Invalid, "back: the answer has no state")
+			}
+		},
+	}, s)
+	if r.Class != OK {
 		return wire.Health{}, r
 	}
 	r.Incarnation = h.Incarnation
@@ -271,3 +268,12 @@
 		r.fail(Invalid, "back: the answer names another index version")
 	}
 }
+
+func matchOrder(a *wire.BackendOrderAnswer, o *wire.BackendOrder, r *Result) {
+	switch {
+	case !a.Complete:
+		r.fail(Invalid, "back: the answer is not complete")
+	case a.Key != o.Key:
+		r.fail(Invalid, "back: the answer names another key")
+	}
+}
--- a/back/exchange.go
+++ b/back/exchange.go
@@ -25,6 +25,9 @@
 	shard string
 	body  any
 	order bool
+	// accept decodes an answer with status 200 and sets the class Invalid when it does not belong
+	// to the request. Nil accepts any.
+	accept func(answer []byte, r *Result)
 }
 
 // scratch holds the buffers of one request.
@@ -42,8 +45,6 @@
 	until   [1]string
 	pool    *pool
 	sent    request
-	// conn is the connection of an answer that has not been matched with its request yet.
-	conn *conn
 }
 
 func newScratch() *scratch {
@@ -118,12 +119,14 @@
 		r.Wait = time.Since(start)
 		if err != nil {
 			r.Refused = refused(err)
+			r.Local = errors.Is(err, errCanceled) || errors.Is(err, errNoSlot) && !p.dials()
 			r.fail(Unsent, err.Error())
 			return r
 		}
 		// A VM that resumes from a pause must not send an order whose time has passed.
 		if ctx.Err() != nil || r.Wait >= remaining || k.bootTime(q)-boot >= remaining {
 			p.put(c)
+			r.Local = true
 			r.fail(Unsent, "back: the deadline passed or the request was canceled before it was sent")
 			return r
 		}
@@ -135,21 +138,6 @@
 	}
 }
 
-// settle keeps the connection of an answer that belongs to its request. Behind an answer to another
-// request every later answer on the connection would be one late, and a late "not run" would be
-// taken for the fate of the wrong order.
-func (s *scratch) settle(r *Result) {
-	c := s.conn
-	s.conn = nil
-	switch {
-	case c == nil:
-	case r.Class == OK:
-		s.pool.put(c)
-	default:
-		s.pool.retire(c)
-	}
-}
-
 func (k *Client) bootTime(q request) time.Duration {
 	if !q.order {
 		return 0
@@ -175,13 +163,12 @@
 	if err == nil {
 		c.served++
 		k.classify(status, s, r)
-		switch {
-		case !reusable || !stopped || r.Class == Invalid:
-			p.retire(c)
-		case r.Class == OK:
-			s.conn = c
-		default:
+		// After an answer that belongs to another request, each later one on the connection may be
+		// one late, and a refusal would be taken for that of the wrong order.
+		if reusable && stopped && r.Class != Invalid {
 			p.put(c)
+		} else {
+			p.retire(c)
 		}
 		return false
 	}
--- a/back/pool.go
+++ b/back/pool.go
@@ -185,6 +185,14 @@
 	return nil, err
 }
 
+// dials reports whether a connection is being opened. A server that does not answer leaves it open
+// until the deadline of its waiters.
+func (p *pool) dials() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialing > 0
+}
+
 // forget removes a waiter. It returns false when the waiter has been granted something.
 func (p *pool) forget(w waiter) bool {
 	p.mu.Lock()
--- a/fleet/property_test.go
+++ b/fleet/property_test.go
@@ -42,6 +42,18 @@
 	})
 }
 
+// Documents that move the seats of a slice to other domains must not give it two holders. A
+// partition is left out: nodes behind it keep the seats of the older document.
+func TestPropertyReshape(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := planOf(faultReshape, faultReplace, faultPause, faultLeave).Draw(t, "plan")
+		s := runPlan(p, defaultRules())
+		if s.found != nil {
+			t.Fatalf("%s: %s\n%s", s.found.invariant, s.found.detail, strings.Join(s.trace, "\n"))
+		}
+	})
+}
+
 // One broken link, in one or both directions, must take no member down.
 func TestPropertyOneLink(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -82,6 +94,9 @@
 		{"a promise of a seat taken over counts in full", oneHolder, []faultKind{faultPartition}, false, func(r *rules) {
 			r.provisionalTime = 0
 		}},
+		{"new seats promise at once", oneHolder, []faultKind{faultReshape, faultPause, faultLoss, faultLink}, false, func(r *rules) {
+			r.documentAbstention, r.seatAbstention = 0, 0
+		}},
 		{"any document is accepted", noReversal, []faultKind{faultConfig, faultPartition, faultDelay}, false, func(r *rules) {
 			r.accepts = func(uint64, uint64) bool { return true }
 		}},
@@ -96,6 +111,9 @@
 		{"one observer takes a member down", linkNotDown, []faultKind{faultLink}, true, func(r *rules) {
 			r.observers, r.refuteTime = 1, 0
 		}},
+		{"a lease ends before it begins", served, []faultKind{faultPause}, false, func(r *rules) {
+			r.holderTime = 0
+		}},
 		{"tables are never fetched", converges, []faultKind{faultPartition, faultLoss, faultReplace}, false, func(r *rules) {
 			r.digestStreak = 1 << 30
 		}},
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -44,6 +44,9 @@
 	// paused means that a retry timer will launch the task.
 	paused   bool
 	attempts []*attempt
+	// replicas are the servers of the task as of the time that the slice counted so many moves.
+	replicas []*server
+	moves    uint64
 	// shares are the servers on which the task's expected load is counted.
 	shares []*server
 	// tried are servers that failed this task; others are preferred.
@@ -71,9 +74,16 @@
 	}
 	j.tasks = make([]*task, len(r.Tasks))
 	backing := make([]task, len(r.Tasks))
+	places := 0
 	for i := range r.Tasks {
 		backing[i] = task{Task: r.Tasks[i], job: j, open: true}
 		j.tasks[i] = &backing[i]
+		places += len(r.Tasks[i].Servers)
+	}
+	// One list for the replicas of all tasks saves an allocation for each.
+	list := make([]*server, places)
+	for _, t := range j.tasks {
+		t.replicas, list = list[:0:len(t.Servers)], list[len(t.Servers):]
 	}
 	s.timers.add(timer{at: r.Deadline, kind: deadlineTimer, job: j})
 	evicted, full := s.queue.Push(uint64(j.id), r.Worth, r.Deadline, j)
@@ -85,6 +95,9 @@
 }
 
 func (s *Slice) refusal(now time.Time, j *job) *wire.Failure {
+	if s.draining {
+		return handingOver()
+	}
 	if !now.Before(s.sendLimit()) {
 		return wire.Refuse(wire.StepLease, "", wire.ReasonNoHome, "no lease for the slice")
 	}
@@ -108,10 +121,34 @@
 	return min(hold, j.Deadline.Sub(j.submitted)/2)
 }
 
-// expectedWait is the time until the requests ahead of this one have been started, by the recent
-// time between the ends of two requests.
+// expectedWait is the time until the requests ahead of this one have been started: by the recent time
+// between the ends of two requests, or by what the servers can run if that is less. The first
+// includes what the second does not know, but a stall raises it for long.
 func (s *Slice) expectedWait(j *job) time.Duration {
-	return s.gap.Value() * time.Duration(s.queue.Ahead(j.Worth, j.Deadline))
+	ahead := s.queue.Ahead(j.Worth, j.Deadline)
+	if ahead == 0 {
+		return 0
+	}
+	return min(s.gap.Value(), s.capacityGap(j)) * time.Duration(ahead)
+}
+
+// capacityGap is the time that the most loaded server needs for its part of one such request when it
+// uses its whole allowance.
+func (s *Slice) capacityGap(j *job) time.Duration {
+	loads := make(map[*server]float64, len(j.Tasks))
+	var longest time.Duration
+	for i := range j.Tasks {
+		share := s.share(&j.Tasks[i])
+		for _, a := range j.Tasks[i].Servers {
+			v := s.servers[a]
+			if v == nil || !v.usable() {
+				continue
+			}
+			loads[v] += share / float64(v.permits.Allowance())
+			longest = max(longest, time.Duration(loads[v]*float64(v.average.Value())))
+		}
+	}
+	return longest
 }
 
 // pump starts waiting requests while the servers have room for them.
@@ -129,6 +166,22 @@
 	}
 }
 
+// replicas returns the servers of the task that the slice knows. Looking them up for each decision
+// would cost more than the decision.
+func (s *Slice) replicas(t *task) []*server {
+	if t.moves == s.moves {
+		return t.replicas
+	}
+	t.moves = s.moves
+	t.replicas = t.replicas[:0]
+	for _, a := range t.Servers {
+		if v := s.servers[a]; v != nil {
+			t.replicas = append(t.replicas, v)
+		}
+	}
+	return t.replicas
+}
+
 // fits reports whether each shard's replicas are expected to be free within waitShare of the
 // request's remaining time. The wait is that of the work above what the replicas run at once, at the
 // rate at which they answer. A slow server lengthens its own shard's wait only, and a canary that
@@ -150,9 +203,8 @@
 // replicaWait is the time until the replicas of the task have room for one more request.
 func (s *Slice) replicaWait(t *task) time.Duration {
 	load, room, rate := 0.0, 0.0, 0.0
-	for _, a := range t.Servers {
-		v := s.servers[a]
-		if v == nil || !v.usable() {
+	for _, v := range s.replicas(t) {
+		if !v.usable() {
 			continue
 		}
 		slots := float64(v.permits.Allowance())
@@ -166,7 +218,7 @@
 	return time.Duration((load + 1 - room) / rate)
 }
 
-func (s *Slice) share(now time.Time, t *task) float64 {
+func (s *Slice) share(t *Task) float64 {
 	n := 0
 	for _, a := range t.Servers {
 		if v := s.servers[a]; v != nil && v.usable() {
@@ -189,15 +241,15 @@
 	s.hedges.Earn(len(j.tasks))
 	s.retries.Earn(len(j.tasks))
 	for _, t := range j.tasks {
-		s.commit(now, t)
+		s.commit(t)
 	}
 	s.begin(now, j, out)
 }
 
-func (s *Slice) commit(now time.Time, t *task) {
-	share := s.share(now, t)
-	for _, a := range t.Servers {
-		if v := s.servers[a]; v != nil && v.usable() {
+func (s *Slice) commit(t *task) {
+	share := s.share(&t.Task)
+	for _, v := range s.replicas(t) {
+		if v.usable() {
 			v.committed += share
 			t.shares = append(t.shares, v)
 		}
--- a/sched/done.go
+++ b/sched/done.go
@@ -21,6 +21,7 @@
 	t := a.task
 	t.attempts = slices.DeleteFunc(t.attempts, func(b *attempt) bool { return b == a })
 	a.server.permits.Release()
+	a.server.flights = slices.DeleteFunc(a.server.flights, func(b *attempt) bool { return b == a })
 	if !r.certain() {
 		t.job.sent = true
 	}
@@ -74,6 +75,9 @@
 		s.failed(now, v, out)
 		s.turnCold(now, v, limit.ColdConnection, out)
 	case Unsent, Broken:
+		if r.Local {
+			return
+		}
 		s.failed(now, v, out)
 		s.turnCold(now, v, limit.ColdConnection, out)
 	case TimedOut:
@@ -87,6 +91,16 @@
 		if latency > v.average.Value() && v.average.Value() > 0 {
 			v.average.Add(latency)
 		}
+		if r.Class == Cancelled {
+			s.observeCancelled(now, v, latency, out)
+		}
+	}
+}
+
+// observeCancelled counts an attempt that was slow when it lost to its hedge as a slow answer.
+func (s *Slice) observeCancelled(now time.Time, v *server, latency time.Duration, out *Actions) {
+	if !s.config.IgnoreCold && v.permits.Slow(latency) && v.permits.StepDown() {
+		s.cancelExcess(now, v, out)
 	}
 }
 
@@ -144,8 +158,8 @@
 	for _, a := range t.attempts {
 		s.cancel(a, out)
 	}
-	for _, a := range t.Servers {
-		if v := s.servers[a]; v != nil && v.reserved == t {
+	for _, v := range s.replicas(t) {
+		if v.reserved == t {
 			v.reserved = nil
 		}
 	}
@@ -207,8 +221,8 @@
 }
 
 func (s *Slice) hasFresh(now time.Time, t *task) bool {
-	for _, a := range t.Servers {
-		if v := s.servers[a]; v != nil && v.usable() && s.preferred(now, t, v) {
+	for _, v := range s.replicas(t) {
+		if v.usable() && s.preferred(now, t, v) {
 			return true
 		}
 	}
@@ -237,18 +251,24 @@
 		if !t.open {
 			continue
 		}
-		s.markRunning(t)
 		s.close(t, out)
 		j.missing = append(j.missing, Missing{Shard: t.Shard, Reason: reason})
 	}
 	s.finish(now, j, nil, out)
 }
 
-// markRunning records that the end of the request leaves attempts that may run.
-func (s *Slice) markRunning(t *task) {
-	if len(t.attempts) > 0 {
-		t.job.sent = true
+// mayHaveRun reports whether a byte of the request may have reached a backend server. Attempts that are
+// cancelled but have not ended count.
+func (j *job) mayHaveRun() bool {
+	if j.sent {
+		return true
+	}
+	for _, t := range j.tasks {
+		if len(t.attempts) > 0 {
+			return true
+		}
 	}
+	return false
 }
 
 // expire ends a request at its deadline.
@@ -281,7 +301,6 @@
 		if !t.open {
 			continue
 		}
-		s.markRunning(t)
 		s.close(t, out)
 	}
 	s.holds.Add(now.Sub(j.started))
@@ -306,9 +325,11 @@
 
 func (s *Slice) end(j *job, f *wire.Failure, out *Actions) {
 	j.ended = true
+	j.sent = j.mayHaveRun()
 	delete(s.jobs, j.id)
 	if f != nil {
 		f.RequestID = j.RequestID
+		f.NotRun = f.NotRun && !j.sent
 	}
 	out.Finished = append(out.Finished, Finished{
 		Job: j.id, Failure: f, Missing: j.missing, Sent: j.sent, Stale: j.stale,
--- a/sched/slice.go
+++ b/sched/slice.go
@@ -40,6 +40,9 @@
 	AdmitAll bool
 	// IgnoreCold gives each server its full slots always; it is a baseline.
 	IgnoreCold bool
+	// Bears, when it is set, returns what a server bears now, which replaces the ramp; it is a
+	// baseline.
+	Bears func(netip.AddrPort) int
 }
 
 func (c *Config) setDefaults() {
@@ -73,16 +76,20 @@
 	latencies *route.Distribution
 	// holds are times from start to end of requests; gap is the time between two ends while
 	// requests wait.
-	holds   *route.Distribution
-	gap     route.Average
-	lastEnd time.Time
-	outlier *route.Outlier
-	guard   *guard.Guard[JobID]
-	rand    *rand.Rand
-	lease   time.Time
-	lastID  uint64
-	cands   []route.Candidate
-	places  []*server
+	holds    *route.Distribution
+	gap      route.Average
+	lastEnd  time.Time
+	outlier  *route.Outlier
+	warming  limit.Warming
+	guard    *guard.Guard[JobID]
+	rand     *rand.Rand
+	lease    time.Time
+	draining bool
+	lastID   uint64
+	// moves counts the changes of the set of servers.
+	moves  uint64
+	cands  []route.Candidate
+	places []*server
 }
 
 // New returns a slice without servers and without a lease.
@@ -101,6 +108,7 @@
 		outlier:   route.NewOutlier(c.Outlier),
 		guard:     guard.New[JobID](c.Guard),
 		rand:      rand.New(rand.NewPCG(c.Seed, c.Seed+1)),
+		moves:     1,
 	}
 }
 
--- a/serve/home.go
+++ b/serve/home.go
@@ -65,6 +65,7 @@
 	defer h.mu.Unlock()
 	if gained {
 		h.slice.Restart()
+		h.slice.Resume()
 		h.handing = false
 	}
 	h.slice.SetLease(end)
@@ -83,20 +84,28 @@
 	h.slice.Merge(time.Now(), m)
 }
 
-// handOver refuses new work while the lease must go to another node, and releases it once the work
-// in flight has ended. Until then the lease is renewed, because that work may still need to send.
+// handOver stops new work when the lease must go to another node, and releases it once the admitted
+// work has ended.
 func (h *home) handOver() {
 	p := h.node.peer
-	draining := p.Draining(h.key.service, h.key.slice)
+	drain := p.Draining(h.key.service, h.key.slice)
 	h.mu.Lock()
-	if draining && !h.handing {
+	if !drain {
+		if h.handing {
+			h.handing = false
+			h.slice.Resume()
+		}
+		h.mu.Unlock()
+		return
+	}
+	if !h.handing {
+		h.handing = true
+		h.apply(h.slice.Drain())
 		h.node.log.Info("handing over the lease", "Service", h.key.service, "Slice", h.key.slice, "Busy", h.slice.Busy())
 	}
-	// A better claimant that has gone away leaves the lease here.
-	h.handing = draining
 	idle := h.slice.Busy() == 0 && h.slice.Outstanding() == 0
 	h.mu.Unlock()
-	if draining && idle {
+	if idle {
 		p.Release(h.key.service, h.key.slice)
 	}
 }
@@ -154,11 +163,7 @@
 }
 
 func (h *home) refuse(reason wire.Reason, text string) *wire.Failure {
-	return h.refuseStep(wire.StepAdmit, reason, text)
-}
-
-func (h *home) refuseStep(step wire.Step, reason wire.Reason, text string) *wire.Failure {
-	return wire.Refuse(step, h.node.PeerAddress().String(), reason, "%s", text)
+	return wire.Refuse(wire.StepAdmit, h.node.PeerAddress().String(), reason, "%s", text)
 }
 
 // worth is the worth of a kind under the preset in force.
@@ -189,10 +194,6 @@
 // submit waits for the end of a request. A query whose planner has gone away runs to its deadline.
 func (h *home) submit(ctx context.Context, r sched.Request, w *work) (sched.Finished, error) {
 	h.mu.Lock()
-	if h.handing {
-		h.mu.Unlock()
-		return sched.Finished{}, h.refuseStep(wire.StepLease, wire.ReasonNoHome, "the lease is handed over")
-	}
 	id, out := h.slice.Submit(time.Now(), r)
 	h.jobs[id] = w
 	h.apply(out)
@@ -322,7 +323,7 @@
 
 func result(r back.Result) sched.Result {
 	return sched.Result{
-		Class: classes[r.Class], Reason: r.Reason, Incarnation: r.Incarnation, Warm: r.Warm, Draining: r.Draining,
+		Class: classes[r.Class], Reason: r.Reason, Local: r.Local, Incarnation: r.Incarnation, Warm: r.Warm, Draining: r.Draining,
 		Detail: r.Message,
 	}
 }
--- a/serve/node_test.go
+++ b/serve/node_test.go
@@ -33,13 +33,20 @@
 }
 
 func startFleetWith(t *testing.T, layout stand.Layout, server stand.ServerConfig, domains ...string) *testFleet {
+	t.Helper()
+	return startFleetSettings(t, layout, server, func(*conf.Settings) {}, domains...)
+}
+
+func startFleetSettings(
+	t *testing.T, layout stand.Layout, server stand.ServerConfig, change func(*conf.Settings), domains ...string,
+) *testFleet {
 	t.Helper()
 	f, err := stand.StartFleet(t.Context(), stand.FleetConfig{Layout: layout, Server: server, Seed: 1})
 	is.New(t).NoErr(err)
 	v := &testFleet{Fleet: f, t: t, ends: map[*Node]context.CancelFunc{}}
 	t.Cleanup(v.close)
 	for i, d := range domains {
-		v.start(fmt.Sprintf("node-%d", i), d)
+		v.startWith(fmt.Sprintf("node-%d", i), d, change)
 	}
 	v.list()
 	for _, n := range v.nodes {
@@ -93,7 +100,7 @@
 	for _, end := range f.ends {
 		end()
 	}
-	f.Fleet.Close() //nolint:staticcheck // names the embedded method
+	f.Close()
 }
 
 // until waits for a condition that must come true within the bound of 10 s.
--- a/serve/orders.go
+++ b/serve/orders.go
@@ -84,8 +84,9 @@
 	switch {
 	case f.Step == wire.StepRelay && !f.Forwarded:
 		f.Outcome, f.NotRun = wire.Unknown, false
-	case f.NotRun && f.Peer == k.Issuer.String() && beforeTable(f.Step):
-		// The issuer refused this attempt without a look at the key, which may have run before.
+	case f.Step == wire.StepDecode || f.Step == wire.StepAuth || f.Step == wire.StepReady:
+		// The issuer refused this attempt before it looked at the key, which an earlier attempt
+		// may have started.
 		f.Outcome, f.NotRun, f.Forwarded = wire.Unknown, false, false
 	case f.Reason == wire.ReasonKeyForeign && f.Outcome == wire.Unknown:
 		// Another incarnation runs at the address of the issuer.
@@ -94,11 +95,6 @@
 	return f
 }
 
-// beforeTable reports whether a request from a peer passes the step before its key is looked up.
-func beforeTable(s wire.Step) bool {
-	return s == wire.StepDecode || s == wire.StepAuth || s == wire.StepReady
-}
-
 // here runs or looks up an order at this node and waits for its outcome until the deadline.
 func (o *orders) here(ctx context.Context, r wire.OrderRelay) (wire.OrderResult, *wire.Failure) {
 	q := order.Request{Key: r.Order.Key, Service: r.Service, Caller: r.Caller, Kind: r.Order.Kind, Body: r.Order.Body}
@@ -116,6 +112,7 @@
 	switch {
 	case out.Failure != nil:
 		f := *out.Failure
+		f.Forwarded = f.Forwarded || out.State == order.Closed || out.State == order.Unknown
 		return wire.OrderResult{}, &f
 	case out.State == order.Done:
 		return wire.OrderResult{Key: r.Order.Key, Outcome: wire.Answered, Result: out.Result}, nil
--- a/trial/world.go
+++ b/trial/world.go
@@ -9,7 +9,6 @@
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/guard"
 	"github.com/arbutusthread/arbutusthread/sched"
-	"github.com/arbutusthread/arbutusthread/wire"
 )
 
 // epoch is the start of virtual time.
@@ -28,10 +27,18 @@
 	servers map[netip.AddrPort]*modelServer
 	order   []*modelServer
 	tasks   []sched.Task
-	rand    *rand.Rand
-	result  Result
-	unused  map[netip.AddrPort]string
-	flights map[flightKey]*flight
+	// rand draws the arrivals only, so that they are the same for all policies; picks draws senders.
+	rand, picks *rand.Rand
+	result      Result
+	unused      map[netip.AddrPort]string
+	flights     map[flightKey]*flight
+	// starts are the first sends of all requests in the order of their times.
+	starts []start
+	// replayed is what became of each request; nil unless a trace is replayed.
+	replayed []replayed
+	recorder *Recorder
+	// returned is the time at which a failure domain last came back.
+	returned time.Duration
 }
 
 // sender is one node's scheduler.
@@ -49,13 +56,36 @@
 	arrived time.Duration
 	poison  bool
 	ideal   time.Duration
+	shards  int
+	sends   int
+	print   guard.Fingerprint
+	// place is the index in a replayed trace.
+	place int
+	// moving means that it arrived while a failure domain moved.
+	moving bool
+}
+
+// start is the first send of a request.
+type start struct {
+	at    time.Duration
+	worth float64
+}
+
+// overtaken reports whether a less worthy request was started while this one waited.
+func (w *world) overtaken(q *request) bool {
+	for i := len(w.starts) - 1; i >= 0 && w.starts[i].at >= q.arrived; i-- {
+		if w.starts[i].worth < q.kind.Worth {
+			return true
+		}
+	}
+	return false
 }
 
 func newWorld(c Case, p Policy, seed uint64) *world {
 	w := &world{
 		setup: c, policy: p, servers: make(map[netip.AddrPort]*modelServer),
-		rand: rand.New(rand.NewPCG(seed, 7)), unused: make(map[netip.AddrPort]string),
-		flights: make(map[flightKey]*flight),
+		rand: rand.New(rand.NewPCG(seed, 7)), picks: rand.New(rand.NewPCG(seed, 11)), unused: make(map[netip.AddrPort]string),
+		flights: make(map[flightKey]*flight), returned: -moveTime,
 	}
 	w.result = newResult(c, p, seed)
 	w.build(seed)
@@ -119,6 +149,9 @@
 	return w.result
 }
 
+// moveTime is how long after its return a failure domain counts as moving.
+const moveTime = 2 * time.Second
+
 // drainTime is how long a run goes on after the last arrival.
 const drainTime = 2 * time.Second
 
@@ -139,19 +172,26 @@
 }
 
 func (w *world) submit(k *Kind, id string, poison bool) {
-	r := &request{id: id, kind: k, arrived: w.now, poison: poison}
-	s := w.senders[w.rand.IntN(len(w.senders))]
+	fp := guard.FingerprintOf("trial", k.Name, id)
+	w.submitRequest(&request{id: id, kind: k, arrived: w.now, poison: poison}, fp)
+}
+
+func (w *world) submitRequest(r *request, fp guard.Fingerprint) {
+	r.print = fp
+	k := r.kind
+	s := w.senders[w.picks.IntN(len(w.senders))]
 	tasks := w.tasks
 	if !k.Idempotent {
 		tasks = tasks[:1]
 	}
+	r.shards = len(tasks)
+	r.moving = len(w.unused) > 0 || w.now < w.returned+moveTime
 	if k.Idempotent && w.setup.Ideal {
 		r.ideal = w.ideal(r, tasks)
 	}
-	fp := guard.FingerprintOf("trial", k.Name, id)
 	job, out := s.slice.Submit(w.time(), sched.Request{
-		RequestID: id, Kind: k.Name, Worth: k.Worth, Deadline: w.time().Add(k.Timeout),
-		Idempotent: k.Idempotent, Fingerprint: fp, Proven: w.setup.Proven && !poison, Tasks: tasks,
+		RequestID: r.id, Kind: k.Name, Worth: k.Worth, Deadline: w.time().Add(k.Timeout),
+		Idempotent: k.Idempotent, Fingerprint: fp, Proven: w.setup.Proven && !r.poison, Tasks: tasks,
 	})
 	s.jobs[job] = r
 	w.carryOut(s, out)
@@ -217,142 +257,6 @@
 func (w *world) record(s *sender, f sched.Finished) {
 	r := s.jobs[f.Job]
 	delete(s.jobs, f.Job)
-	w.result.add(w, r, f)
-}
-
-func (w *world) send(s *sender, v sched.Send) {
-	w.result.sent(v)
-	key := flightKey{sender: s.id, attempt: v.Attempt}
-	server := w.servers[v.Server]
-	server.received++
-	if server.markedAt > 0 && w.now >= server.markedAt {
-		server.afterMark++
-		server.lastMarked = w.now
-	}
-	if server.down {
-		w.answer(s, key, server.result(sched.Unsent, ""), w.now+2*w.setup.Model.Network)
-		return
-	}
-	f := &flight{key: key, server: server}
-	server.running[key] = f
-	w.flights[key] = f
-	w.events.add(w.now+w.setup.Model.Network, func() { w.received(s, f, v) })
-}
-
-func (w *world) received(s *sender, f *flight, v sched.Send) {
-	server := f.server
-	if f.ended {
-		return
-	}
-	if w.poisoned(s, v.Job) {
-		w.crash(server)
-		return
-	}
-	if server.cold() {
-		server.coldReceived++
-		if len(server.running) > server.bears() {
-			if server.shown > 0 && w.now-server.shown > 2*w.setup.Model.Network {
-				server.coldOver++
-			} else {
-				server.coldUnseen++
-			}
-		}
-		if w.overrun(server) {
-			return
-		}
-	} else if len(server.running) > server.model.Slots {
-		server.sheds++
-		w.end(s, f, server.result(sched.NotRun, wire.BackendShed))
-		return
-	}
-	took := time.Duration(float64(server.draw(v.RequestID, v.Shard)) * server.factor(w.now))
-	w.events.add(w.now+took, func() { w.served(s, f) })
-}
-
-// overrun crashes a cold server that has had more work than it bears for too long.
-func (w *world) overrun(v *modelServer) bool {
-	if len(v.running) <= v.bears() {
-		v.overSince = 0
-		return false
-	}
-	if v.overSince == 0 {
-		v.overSince = w.now
-	}
-	if w.now-v.overSince < overrunTime {
-		return false
-	}
-	w.crash(v)
-	return true
-}
-
-// overrunTime is how long a cold server stands more work than it bears.
-const overrunTime = 50 * time.Millisecond
-
-func (w *world) poisoned(s *sender, id sched.JobID) bool {
-	r := s.jobs[id]
-	return r != nil && r.poison
-}
-
-func (w *world) served(s *sender, f *flight) {
-	if f.ended {
-		return
-	}
-	f.server.served++
-	if len(f.server.running) <= f.server.bears() {
-		f.server.overSince = 0
-	}
-	if f.server.full == 0 && !f.server.cold() {
-		f.server.full = w.now
-	}
-	w.end(s, f, f.server.result(sched.OK, ""))
-}
-
-// end takes the request off the server and answers after the network delay.
-func (w *world) end(s *sender, f *flight, r sched.Result) {
-	f.ended = true
-	delete(f.server.running, f.key)
-	delete(w.flights, f.key)
-	if f.server.cold() && f.server.shown == 0 && r.Class != sched.Cancelled {
-		f.server.shown = w.now
-	}
-	w.answer(s, f.key, r, w.now+w.setup.Model.Network)
-}
-
-func (w *world) answer(s *sender, key flightKey, r sched.Result, at time.Duration) {
-	w.events.add(at, func() {
-		w.carryOut(s, s.slice.Done(w.time(), key.attempt, r))
-	})
-}
-
-func (w *world) cancel(s *sender, a sched.AttemptID) {
-	key := flightKey{sender: s.id, attempt: a}
-	w.events.add(w.now+w.setup.Model.Network, func() {
-		if f := w.flights[key]; f != nil {
-			w.end(s, f, sched.Result{Class: sched.Cancelled})
-		}
-	})
-}
-
-// crash ends all requests at the server, which comes back cold.
-func (w *world) crash(v *modelServer) {
-	v.crashes++
-	v.overSince = 0
-	v.down = true
-	for _, f := range sortedFlights(v.running) {
-		w.end(w.senders[f.key.sender], f, v.result(sched.Crashed, ""))
-	}
-	w.events.add(w.now+w.setup.Model.Restart, func() {
-		v.down = false
-		v.incarnation++
-		v.served = 0
-		v.full = 0
-		v.shown = 0
-	})
-}
-
-// turnCold makes a server cold without a sign to its clients.
-func (w *world) turnCold(v *modelServer) {
-	v.served = 0
-	v.full = 0
-	v.shown = 0
+	answered := w.result.add(w, r, f)
+	w.note(r, answered, f.Failure)
 }
