Record traces in serve and replay them against a published service

Cause: the trace format and the replay existed, but no node recorded and the replay knew only the built-in cases.

--- a/main.go
+++ b/main.go
@@ -74,6 +74,7 @@
 		newLoad,
 		newDemo,
 		newTrial,
+		newReplay,
 	} {
 		x := c(s, flags)
 		exec := x.Exec
--- a/query/merge.go
+++ b/query/merge.go
@@ -20,6 +20,7 @@
 	top    *Top
 	answer wire.Answer
 	sent   bool
+	sends  int
 	stale  bool
 	reason wire.Reason
 }
@@ -50,6 +51,7 @@
 	m.answer.Coverage.Covered = append(m.answer.Coverage.Covered, p.Covered...)
 	m.answer.Coverage.Missing = append(m.answer.Coverage.Missing, p.Missing...)
 	m.sent = m.sent || p.Sent
+	m.sends += p.Sends
 	m.stale = m.stale || p.StaleVersion
 	return nil
 }
@@ -100,6 +102,11 @@
 	}
 }
 
+// Sends returns the number of shard requests that the merged parts have sent.
+func (m *Merge) Sends() int {
+	return m.sends
+}
+
 // Stale reports whether a server no longer has the pinned version.
 func (m *Merge) Stale() bool {
 	return m.stale
--- a/serve.go
+++ b/serve.go
@@ -7,22 +7,26 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
 
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/serve"
+	"github.com/arbutusthread/arbutusthread/trial"
 )
 
 // server runs one node.
 type server struct {
 	*shell
 	settings string
+	trace    string
 }
 
 func newServe(s *shell, parent *ff.FlagSet) *ff.Command {
 	c := &server{shell: s}
 	flags := ff.NewFlagSet("serve").SetParent(parent)
 	flags.StringVar(&c.settings, 's', "settings", "", "settings file of the node")
+	flags.StringVar(&c.trace, 0, "trace", "", "file to which finished queries are recorded, without their texts, for replay")
 	return &ff.Command{
 		Name:      "serve",
 		Usage:     "arbutusthread serve --settings FILE",
@@ -51,7 +55,20 @@
 		return err
 	}
 	log := slog.New(slog.NewJSONHandler(c.err, &slog.HandlerOptions{Level: settings.Log.SlogLevel()}))
-	n, err := serve.New(serve.Config{Settings: settings, Log: log})
+	config := serve.Config{Settings: settings, Log: log}
+	if c.trace == "" {
+		return start(ctx, config)
+	}
+	f, err := os.OpenFile(c.trace, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "serve: trace")
+	}
+	config.Traces = trial.NewRecorder(f)
+	return errors.CombineErrors(start(ctx, config), errors.CombineErrors(config.Traces.Err(), f.Close()))
+}
+
+func start(ctx context.Context, c serve.Config) error {
+	n, err := serve.New(c)
 	if err != nil {
 		return err
 	}
--- a/serve/home.go
+++ b/serve/home.go
@@ -38,6 +38,7 @@
 	order     *wire.Execute
 	result    json.RawMessage
 	server    netip.AddrPort
+	sends     int
 	done      chan sched.Finished
 }
 
@@ -130,6 +131,7 @@
 		w.gather.Miss(m.Shard, m.Reason)
 	}
 	p := w.gather.Partial()
+	p.Sends = w.sends
 	p.Sent, p.StaleVersion = end.Sent || len(p.Covered) > 0, end.Stale
 	return p, nil
 }
@@ -265,6 +267,9 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.attempts[s.Attempt] = cancel
+	if w != nil {
+		w.sends++
+	}
 	go func() {
 		defer cancel()
 		if w == nil {
--- a/serve/metric.go
+++ b/serve/metric.go
@@ -24,8 +24,8 @@
 	// counters keeps the counters by name and tags, because tagging a scope for each shard request
 	// costs more than counting.
 	counters sync.Map
-	closer  io.Closer
-	handler http.Handler
+	closer   io.Closer
+	handler  http.Handler
 }
 
 // NewMetrics returns metrics tagged with the node's name and failure domain.
--- a/serve/node.go
+++ b/serve/node.go
@@ -23,6 +23,7 @@
 	"github.com/arbutusthread/arbutusthread/peer"
 	"github.com/arbutusthread/arbutusthread/plat"
 	"github.com/arbutusthread/arbutusthread/query"
+	"github.com/arbutusthread/arbutusthread/trial"
 )
 
 const (
@@ -35,6 +36,8 @@
 type Config struct {
 	Settings *conf.Settings
 	Log      *slog.Logger
+	// Traces records finished queries for a replay; nil records nothing.
+	Traces *trial.Recorder
 }
 
 // Node is one node of the fleet.
@@ -43,6 +46,7 @@
 	log       *slog.Logger
 	metrics   *Metrics
 	decisions *Decisions
+	traces    *trial.Recorder
 
 	peer     *peer.Node
 	platform *plat.Client
@@ -78,7 +82,7 @@
 func New(c Config) (*Node, error) {
 	s := c.Settings
 	n := &Node{
-		settings: s, log: c.Log, metrics: NewMetrics(s.Name, s.FailureDomain),
+		settings: s, log: c.Log, traces: c.Traces, metrics: NewMetrics(s.Name, s.FailureDomain),
 		decisions: NewDecisions(c.Log, s.Log.Sample(), s.Limits.Decisions),
 		proven:    guard.NewProven(provenLimit, provenLifetime),
 		backend:   back.NewClient(back.Config{MaxAnswer: s.Limits.AnswerBytes, Logger: c.Log}),
--- a/serve/planner.go
+++ b/serve/planner.go
@@ -9,6 +9,7 @@
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/guard"
 	"github.com/arbutusthread/arbutusthread/query"
+	"github.com/arbutusthread/arbutusthread/trial"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
 
@@ -34,15 +35,32 @@
 		return nil, f
 	}
 	m := n.execute(ctx, plan, c)
-	if !m.Stale() {
-		return m.Answer()
-	}
-	again, f := query.NewPlan(n.view.Load().catalog, service, q, now, plan.Index.Version)
-	if f != nil || !time.Now().Before(again.Deadline) {
-		return m.Answer()
+	sends := m.Sends()
+	if m.Stale() {
+		again, f := query.NewPlan(n.view.Load().catalog, service, q, now, plan.Index.Version)
+		if f == nil && time.Now().Before(again.Deadline) {
+			n.decisions.Add(q.RequestID, Decision{Name: "plan again", Detail: again.Index.Version})
+			m = n.execute(ctx, again, c)
+			sends += m.Sends()
+		}
 	}
-	n.decisions.Add(q.RequestID, Decision{Name: "plan again", Detail: again.Index.Version})
-	return n.execute(ctx, again, c).Answer()
+	answer, f := m.Answer()
+	n.record(plan, now, sends, f)
+	return answer, f
+}
+
+// record writes the trace of a query for a replay, without its text.
+func (n *Node) record(p *query.Plan, started time.Time, sends int, f *wire.Failure) {
+	outcome := wire.Answered
+	if f != nil {
+		outcome = f.Outcome
+	}
+	n.traces.Record(trial.Trace{
+		At: started, RequestID: p.Query.RequestID, Service: p.Service.Name, Kind: p.Kind.Name,
+		QueryHash: guard.FingerprintOf(p.Service.Name, p.Kind.Name, p.Query.Query),
+		Timeout:   wire.Duration(p.Deadline.Sub(started)), Outcome: outcome,
+		Latency: wire.Duration(time.Since(started)), Sends: sends,
+	})
 }
 
 func (n *Node) execute(ctx context.Context, p *query.Plan, c *conf.Caller) *query.Merge {
--- a/trial.go
+++ b/trial.go
@@ -4,7 +4,6 @@
 	"context"
 	"strings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
 
 	"github.com/arbutusthread/arbutusthread/trial"
@@ -13,9 +12,8 @@
 // trialCommand measures the policies in virtual time.
 type trialCommand struct {
 	*shell
-	name   string
-	seeds  int
-	replay string
+	name  string
+	seeds int
 }
 
 func newTrial(s *shell, parent *ff.FlagSet) *ff.Command {
@@ -23,14 +21,12 @@
 	flags := ff.NewFlagSet("trial").SetParent(parent)
 	flags.StringVar(&c.name, 0, "case", "", "only this case: "+strings.Join(trial.CaseNames(), ", "))
 	flags.IntVar(&c.seeds, 0, "seeds", 1, "number of seeds, counted from 1, whose runs are pooled")
-	flags.StringVar(&c.replay, 0, "replay", "", "trace file to replay against the servers of the case instead")
 	return &ff.Command{
 		Name:      "trial",
 		Usage:     "arbutusthread trial [FLAGS]",
 		ShortHelp: "measure the policies against baselines in virtual time",
 		LongHelp: `Runs the scheduler and its baselines against models of backend servers. The same seeds
-give the same figures. With --replay the recorded arrivals are used and the outcomes
-are compared with those recorded; "-" is the standard input.
+give the same figures.
 
 Example:
   arbutusthread trial --case tail --seeds 10`,
@@ -54,9 +50,6 @@
 	if c.seeds < 1 {
 		return usagef("--seeds must be at least 1")
 	}
-	if c.replay != "" {
-		return c.runReplay(cases)
-	}
 	var all []trial.Result
 	for _, one := range cases {
 		r, err := trial.RunSeeds(ctx, one, c.seeds)
@@ -71,26 +64,3 @@
 	}
 	return c.print(all, text.String())
 }
-
-func (c *trialCommand) runReplay(cases []trial.Case) error {
-	if c.name == "" {
-		return usagef("--replay needs --case")
-	}
-	b, err := c.readFile(c.replay)
-	if err != nil {
-		return err
-	}
-	traces, err := trial.ReadTraces(strings.NewReader(string(b)))
-	if err != nil {
-		return errors.Wrapf(err, "replay %s", c.replay)
-	}
-	_, list, err := trial.Replay(cases[0], trial.InUse(), uint64(c.seeds), traces)
-	if err != nil {
-		return err
-	}
-	var text strings.Builder
-	if err := trial.WriteComparison(&text, list); err != nil {
-		return err
-	}
-	return c.print(list, text.String())
-}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -42,6 +42,8 @@
 	Missing      []MissingShard `json:"Missing,omitempty"`
 	StaleVersion bool           `json:"StaleVersion,omitempty"`
 	Sent         bool           `json:"Sent"`
+	// Sends is the number of shard requests sent, with hedges and retries.
+	Sends int `json:"Sends,omitempty"`
 }
 
 // OrderRelay carries a caller's order from the node that it reached to the issuer of its key.
