Use the guard's limits in the scheduler and distrust lagging health reports

Cause: a canary could run on a server that may still run a suspect one; a query that was harmless on one index version skipped its canary on the next; a health endpoint that lags dropped a warm server to its cold allowance each second. Change: canaries ask guard.Fits, a new index version clears what is proven, and a cold report takes one step away instead of all.

--- a/sched/canary.go
+++ b/sched/canary.go
@@ -155,3 +155,9 @@
 func (s *Slice) Marks(now time.Time) []guard.Note {
 	return s.guard.List(now)
 }
+
+// ClearProven makes each fingerprint run a canary again. It is called for a new index version, on
+// which a request that was harmless may crash servers.
+func (s *Slice) ClearProven() {
+	s.guard.ClearProven()
+}
--- a/sched/send.go
+++ b/sched/send.go
@@ -92,6 +92,9 @@
 	if v.reserved != nil && v.reserved != t {
 		return false
 	}
+	if t == t.job.canary && !s.guard.Fits(now, t.job.Fingerprint, t.job.alone, v.address) {
+		return false
+	}
 	if t.job.alone && t == t.job.canary {
 		v.reserved = t
 		return v.permits.InUse() == 0
--- a/sched/server.go
+++ b/sched/server.go
@@ -139,8 +139,9 @@
 	case wire.ServerDraining:
 		s.drain(now, v, &out)
 	case wire.ServerCold:
-		if !v.permits.Cold() {
-			s.turnCold(now, v, limit.ColdSaid, &out)
+		// The report may be older than the last answers, so it takes away only a step at a time.
+		if !s.config.IgnoreCold && v.permits.StepDown() {
+			s.cancelExcess(now, v, &out)
 		}
 	case wire.ServerReady:
 		if v.stops && !now.Before(v.draining) {
--- a/serve/home.go
+++ b/serve/home.go
@@ -27,7 +27,9 @@
 	timer    *time.Timer
 	wake     time.Time
 	handing  bool
-	closed   bool
+	// newest is the newest index version of the service.
+	newest string
+	closed bool
 }
 
 // work is a request at a home.
@@ -72,9 +74,13 @@
 	h.slice.SetLease(end)
 }
 
-func (h *home) update(p conf.Preset, views []sched.ServerView) {
+func (h *home) update(p conf.Preset, newest string, views []sched.ServerView) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.newest != newest {
+		h.newest = newest
+		h.slice.ClearProven()
+	}
 	h.slice.SetPreset(p)
 	h.apply(h.slice.SetServers(time.Now(), views))
 }
--- a/serve/homes.go
+++ b/serve/homes.go
@@ -105,7 +105,7 @@
 	var caps []back.Server
 	for _, h := range s.all() {
 		views := s.views(v, h.key)
-		h.update(v.catalog.Document.InForce(), views)
+		h.update(v.catalog.Document.InForce(), newestIndex(v, h.key.service), views)
 		for _, w := range views {
 			// One connection is left for the health endpoint.
 			caps = append(caps, back.Server{Address: w.Address, Connections: max(1, w.Connections-1)})
@@ -114,6 +114,15 @@
 	s.node.backend.SetServers(caps)
 }
 
+func newestIndex(v *view, service string) string {
+	if s := v.catalog.Service(service); s != nil {
+		if x := s.Newest(""); x != nil {
+			return x.Version
+		}
+	}
+	return ""
+}
+
 func (s *homes) views(v *view, k sliceKey) []sched.ServerView {
 	service := v.catalog.Service(k.service)
 	if service == nil {
