Run the canary of a query again on a new index version

Cause: a planner skipped the canary for a query that was harmless on an earlier version of the index. Change: the planner's record of harmless queries names the version.

--- a/serve/planner.go
+++ b/serve/planner.go
@@ -67,12 +67,14 @@
 	n.decisions.Add(p.Query.RequestID, Decision{Name: "plan", Detail: p.Service.Name + " version " + p.Index.Version})
 	m := query.NewMerge(p)
 	fp := guard.FingerprintOf(p.Service.Name, p.Kind.Name, p.Query.Query)
+	// A query that is harmless on one version of the index may crash servers on the next.
+	known := guard.FingerprintOf(p.Service.Name+" "+p.Index.Version, p.Kind.Name, p.Query.Query)
 	parts := p.Index.Parts
-	if len(parts) > 1 && !n.isProven(fp) {
+	if len(parts) > 1 && !n.isProven(known) {
 		// The home of one slice, always the same for a fingerprint, runs the canary before any
 		// other slice sees the query.
 		first := int(uint64(fp) % uint64(len(parts)))
-		if reason, ok := n.askCanary(ctx, p, parts[first], c, m, fp); !ok {
+		if reason, ok := n.askCanary(ctx, p, parts[first], c, m, known); !ok {
 			// The reason of the canary tells callers whether to try again.
 			for i, part := range parts {
 				if i != first {
