fleet: leave the configuration hash out of messages about leases

Cause: every control message repeats the hash of the configuration, 10 bytes as CBOR, though heartbeats already tell neighbours of a conflict.

Change: Claim, Promise, Deny and Release as CBOR carry the version without the hash, and receivers do not take this for a conflict. Heartbeat, Ack and Update still carry the hash, and so do all messages as JSON, because nodes that know only JSON report a missing hash as a conflict. A conflict is now reported between ring neighbours, no longer also between a claimant and a seat.

--- a/fleet/codec_test.go
+++ b/fleet/codec_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -204,3 +205,22 @@
 		is.Equal(first, second)
 	})
 }
+
+// Messages about leases leave the hash out, which must not pass for a conflict. A heartbeat must
+// still report one, or two documents of one version would stay unnoticed.
+func TestConflictWithoutHashInLeases(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, defaultRules())
+	s.run(simWarmUp)
+	p, odd := s.procs[0], s.procs[1]
+	odd.node.hash = "other"
+	reported := func(k Kind) bool {
+		out := p.node.Handle(p.local(s.now), odd.address, *odd.node.message(k))
+		return slices.ContainsFunc(out, func(o Output) bool { return o.Event != nil && o.Event.Kind == ConfigConflict })
+	}
+	for _, k := range []Kind{KindClaim, KindPromise, KindDeny, KindRelease} {
+		is.Equal(odd.node.message(k).Hash, "")
+		is.True(!reported(k))
+	}
+	is.True(reported(KindHeartbeat))
+}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -58,7 +58,7 @@
 		}
 		c.wanted, c.wantedAt = m.Version, n.now
 		n.emit(Event{Kind: ConfigNewer, Peer: from, Version: m.Version, Hash: m.Hash})
-	case m.Version == n.version && m.Hash != n.hash:
+	case m.Version == n.version && m.Hash != n.hash && (m.Hash != "" || !m.Kind.isLease()):
 		if !c.conflictAt.IsZero() && n.now.Sub(c.conflictAt) < conflictEvery {
 			return
 		}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -24,6 +24,11 @@
 	KindRelease   Kind = "Release"
 )
 
+// isLease reports whether messages of the kind carry lease items.
+func (k Kind) isLease() bool {
+	return k == KindClaim || k == KindPromise || k == KindDeny || k == KindRelease
+}
+
 // Message is one control message. Each carries the sender's incarnation, the version and hash of
 // its configuration and a digest of its view, and any of them may carry updates and notes.
 type Message struct {
@@ -32,7 +37,8 @@
 	// Serial numbers heartbeats; an Ack repeats the number that it answers.
 	Serial  uint64 `json:"Serial,omitempty" cbor:"3,keyasint,omitempty"`
 	Version uint64 `json:"Version,omitempty" cbor:"4,keyasint,omitempty"`
-	Hash    string `json:"Hash,omitempty" cbor:"5,keyasint,omitempty"`
+	// Hash is left out of messages about leases as CBOR.
+	Hash string `json:"Hash,omitempty" cbor:"5,keyasint,omitempty"`
 	// Digest covers the members that are not Down, and the notes. It is set in Heartbeat and Ack.
 	Digest uint32 `json:"Digest,omitempty" cbor:"6,keyasint,omitempty"`
 	// Round is that of the lease items which name none.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -230,7 +230,13 @@
 }
 
 func (n *Node) message(k Kind) *Message {
-	return &Message{Kind: k, Incarnation: n.self.Incarnation, Version: n.version, Hash: n.hash}
+	m := &Message{Kind: k, Incarnation: n.self.Incarnation, Version: n.version, Hash: n.hash}
+	if n.codec == CBOR && k.isLease() {
+		// Heartbeats compare the hashes already. Nodes that know only JSON take a hash that is left out
+		// for a conflict.
+		m.Hash = ""
+	}
+	return m
 }
 
 // room returns the bytes of a message that its lists may take.
