--- a/explain.go
+++ b/explain.go
@@ -35,13 +35,5 @@
 	if err := wantArgs(args, 1, 1, "one ID"); err != nil {
 		return err
 	}
-	b, err := c.get(ctx, c.shell, "/ops/explain/"+url.PathEscape(args[0]))
-	if err != nil {
-		return err
-	}
-	text, err := readable(b)
-	if err != nil {
-		return err
-	}
-	return c.print(b, text)
+	return c.show(ctx, c.shell, "/ops/explain/"+url.PathEscape(args[0]))
 }
--- a/ops.go
+++ b/ops.go
@@ -80,3 +80,16 @@
 	}
 	return errors.Newf("node at %s replied with status %d", address, status)
 }
+
+// show prints the reply to a GET request.
+func (x *operator) show(ctx context.Context, s *shell, path string) error {
+	b, err := x.get(ctx, s, path)
+	if err != nil {
+		return err
+	}
+	text, err := readable(b)
+	if err != nil {
+		return err
+	}
+	return s.print(b, text)
+}
--- a/serve/bench_test.go
+++ b/serve/bench_test.go
@@ -116,7 +116,7 @@
 	c := query.NewCatalog(d)
 	n.view.Store(&view{catalog: c})
 	h := newHome(n, sliceKey{"service-0", 0}, sched.New(sched.Config{Service: "service-0", Preset: d.InForce(), Seed: 1}))
-	n.homes.slice[h.key] = h
+	n.homes.byKey[h.key] = h
 	h.setLease(time.Now().Add(time.Hour), false)
 	n.homes.update()
 	ask := func(id string) error {
--- a/serve/home.go
+++ b/serve/home.go
@@ -26,7 +26,8 @@
 	attempts map[sched.AttemptID]context.CancelFunc
 	timer    *time.Timer
 	wake     time.Time
-	handing  bool
+	// draining means that the lease is being handed over.
+	draining bool
 	// newest is the newest index version of the service.
 	newest string
 	closed bool
@@ -69,7 +70,7 @@
 	if gained {
 		h.slice.Restart()
 		h.slice.Resume()
-		h.handing = false
+		h.draining = false
 	}
 	h.slice.SetLease(end)
 }
@@ -98,15 +99,15 @@
 	drain := p.Draining(h.key.service, h.key.slice)
 	h.mu.Lock()
 	if !drain {
-		if h.handing {
-			h.handing = false
+		if h.draining {
+			h.draining = false
 			h.slice.Resume()
 		}
 		h.mu.Unlock()
 		return
 	}
-	if !h.handing {
-		h.handing = true
+	if !h.draining {
+		h.draining = true
 		h.apply(h.slice.Drain())
 		h.node.log.Info("handing over the lease", "Service", h.key.service, "Slice", h.key.slice, "Busy", h.slice.Busy())
 	}
--- a/serve/homes.go
+++ b/serve/homes.go
@@ -26,27 +26,27 @@
 	node *Node
 
 	mu    sync.Mutex
-	slice map[sliceKey]*home
+	byKey map[sliceKey]*home
 	marks map[guard.Fingerprint]guard.Note
 }
 
 func newHomes(n *Node) *homes {
-	return &homes{node: n, slice: make(map[sliceKey]*home), marks: make(map[guard.Fingerprint]guard.Note)}
+	return &homes{node: n, byKey: make(map[sliceKey]*home), marks: make(map[guard.Fingerprint]guard.Note)}
 }
 
 // get returns the home of a slice, or nil.
 func (s *homes) get(k sliceKey) *home {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.slice[k]
+	return s.byKey[k]
 }
 
 // all returns the homes in a fixed order.
 func (s *homes) all() []*home {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := make([]*home, 0, len(s.slice))
-	for _, h := range s.slice {
+	list := make([]*home, 0, len(s.byKey))
+	for _, h := range s.byKey {
 		list = append(list, h)
 	}
 	slices.SortFunc(list, func(a, b *home) int {
@@ -83,7 +83,7 @@
 	h := newHome(s.node, k, sched.New(c))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.slice[k] = h
+	s.byKey[k] = h
 	for _, m := range s.marks {
 		h.merge(m)
 	}
--- a/serve/node.go
+++ b/serve/node.go
@@ -60,15 +60,15 @@
 	history   []*view
 	fault     atomic.Pointer[string]
 
-	homes    *homes
-	orders   *orders
-	leaving  leaving
-	callers  net.Listener
-	ops      net.Listener
-	front    *http.Server
-	console  *http.Server
-	stopping atomic.Bool
-	stopped  chan struct{}
+	homes          *homes
+	orders         *orders
+	leaving        leaving
+	callerListener net.Listener
+	opsListener    net.Listener
+	callerServer   *http.Server
+	opsServer      *http.Server
+	stopping       atomic.Bool
+	stopped        chan struct{}
 }
 
 // view is the configuration in force.
@@ -108,14 +108,14 @@
 	if err != nil {
 		return err
 	}
-	if n.callers, err = listen(s.CallerAddress, server); err != nil {
+	if n.callerListener, err = listen(s.CallerAddress, server); err != nil {
 		return err
 	}
-	n.callers = netutil.LimitListener(n.callers, s.Limits.CallerConnections)
-	if n.ops, err = listen(s.OpsAddress, server); err != nil {
+	n.callerListener = netutil.LimitListener(n.callerListener, s.Limits.CallerConnections)
+	if n.opsListener, err = listen(s.OpsAddress, server); err != nil {
 		return err
 	}
-	n.front, n.console = n.httpServer(n.callerHandler()), n.httpServer(n.opsHandler())
+	n.callerServer, n.opsServer = n.httpServer(n.callerHandler()), n.httpServer(n.opsHandler())
 	return n.openPeer(server, client)
 }
 
@@ -176,12 +176,12 @@
 
 // CallerAddress returns the address for callers.
 func (n *Node) CallerAddress() netip.AddrPort {
-	return listenAddress(n.callers)
+	return listenAddress(n.callerListener)
 }
 
 // OpsAddress returns the address for operators.
 func (n *Node) OpsAddress() netip.AddrPort {
-	return listenAddress(n.ops)
+	return listenAddress(n.opsListener)
 }
 
 // PeerAddress returns the address for other nodes.
@@ -200,8 +200,8 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.peer.Run(ctx) })
-	group.Go(func() error { return serveHTTP(ctx, n.front, n.callers) })
-	group.Go(func() error { return serveHTTP(ctx, n.console, n.ops) })
+	group.Go(func() error { return serveHTTP(ctx, n.callerServer, n.callerListener) })
+	group.Go(func() error { return serveHTTP(ctx, n.opsServer, n.opsListener) })
 	group.Go(func() error { n.watchConfig(ctx); return nil })
 	group.Go(func() error { n.watchVMs(ctx); return nil })
 	group.Go(func() error { n.watchHomes(ctx); return nil })
@@ -240,7 +240,7 @@
 	n.homes.close()
 	n.backend.Close()
 	_ = n.metrics.Close()
-	for _, l := range []net.Listener{n.callers, n.ops} {
+	for _, l := range []net.Listener{n.callerListener, n.opsListener} {
 		if l != nil {
 			_ = l.Close()
 		}
--- a/serve/stop.go
+++ b/serve/stop.go
@@ -31,7 +31,7 @@
 	// Shutdown waits for the requests in flight of callers.
 	ctx, cancel := context.WithTimeout(ctx, stopLimit)
 	defer cancel()
-	if err := n.front.Shutdown(ctx); err != nil {
+	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.log.Warn("requests of callers were cut off", "Error", err)
 	}
 	n.log.Info("stopped", "Name", n.settings.Name, "After", time.Since(left))
--- a/serve/watch.go
+++ b/serve/watch.go
@@ -164,22 +164,22 @@
 
 // leaving holds backend servers that the platform lists as leaving.
 type leaving struct {
-	mu    sync.Mutex
-	until map[netip.AddrPort]time.Time
-	told  map[netip.AddrPort]time.Time
+	mu        sync.Mutex
+	until     map[netip.AddrPort]time.Time
+	published map[netip.AddrPort]time.Time
 }
 
 // due reports whether a note about the server is to be published again.
 func (l *leaving) due(now time.Time, a netip.AddrPort) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.told == nil {
-		l.told = make(map[netip.AddrPort]time.Time)
+	if l.published == nil {
+		l.published = make(map[netip.AddrPort]time.Time)
 	}
-	if last, ok := l.told[a]; ok && now.Sub(last) < leavingRenew {
+	if last, ok := l.published[a]; ok && now.Sub(last) < leavingRenew {
 		return false
 	}
-	l.told[a] = now
+	l.published[a] = now
 	return true
 }
 
@@ -199,7 +199,7 @@
 	until, ok := l.until[a]
 	if ok && !now.Before(until) {
 		delete(l.until, a)
-		delete(l.told, a)
+		delete(l.published, a)
 		return false
 	}
 	return ok
--- a/status.go
+++ b/status.go
@@ -33,13 +33,5 @@
 	if err := wantArgs(args, 0, 0, "no arguments"); err != nil {
 		return err
 	}
-	b, err := c.get(ctx, c.shell, "/ops/status")
-	if err != nil {
-		return err
-	}
-	text, err := readable(b)
-	if err != nil {
-		return err
-	}
-	return c.print(b, text)
+	return c.show(ctx, c.shell, "/ops/status")
 }
