Decode answers of backend servers and peers by go-json-experiment

Cause: decoding of answers took 17% of the CPU of a query. Change: these decoders use the library; it also refuses duplicate keys and text that is not UTF-8.

--- a/back/classify.go
+++ b/back/classify.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-json-experiment/json"
 
 	"github.com/arbutusthread/arbutusthread/wire"
 )
--- a/peer/client.go
+++ b/peer/client.go
@@ -16,6 +16,8 @@
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
+
+	jsonv2 "github.com/go-json-experiment/json"
 )
 
 // idlePerPeer is the number of unused connections kept to one peer.
@@ -119,13 +121,13 @@
 	}
 	if status != http.StatusOK {
 		f := &wire.Failure{}
-		if err := json.Unmarshal(got, f); err != nil || f.Outcome == "" {
+		if err := jsonv2.Unmarshal(got, f); err != nil || f.Outcome == "" {
 			return wire.Uncertain(wire.StepRelay, peer, wire.ReasonPeer, "status %d without a failure", status)
 		}
 		f.Forwarded = true
 		return f
 	}
-	if err := json.Unmarshal(got, answer); err != nil {
+	if err := jsonv2.Unmarshal(got, answer); err != nil {
 		return wire.Uncertain(wire.StepRelay, peer, wire.ReasonPeer, "decode answer: %v", err)
 	}
 	return nil
--- a/peer/server.go
+++ b/peer/server.go
@@ -13,6 +13,8 @@
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
+
+	jsonv2 "github.com/go-json-experiment/json"
 )
 
 // Paths of the HTTP interface between nodes.
@@ -78,7 +80,7 @@
 			return nil, n.refuse(wire.StepReady, wire.ReasonNotReady, "the node does not serve %s", r.URL.Path)
 		}
 		var q Q
-		if err := json.Unmarshal(body, &q); err != nil {
+		if err := jsonv2.Unmarshal(body, &q); err != nil {
 			return nil, n.refuse(wire.StepDecode, wire.ReasonBadRequest, "%v", err)
 		}
 		end := deadline(q)
