Say Unknown, not 'not run', when an order is turned down before its key is looked at

Cause: a node that was not ready, or that refused a resend for its key, kind or body, said 'not run' although the order may have run in an earlier attempt. Change: these replies are Unknown with Forwarded false and the reason; a lease that was gained before the first configuration gets its servers at once.

--- a/serve/caller.go
+++ b/serve/caller.go
@@ -34,8 +34,8 @@
 	app.Get("/v1/services/{service}/addresses", n.handle("addresses", n.addresses))
 	app.Post("/v1/services/{service}/query", n.handle("query", n.query))
 	app.Post("/v1/services/{service}/order-keys", n.handle("order-keys", n.orderKeys))
-	app.Post("/v1/services/{service}/orders", n.handle("orders", n.order))
-	app.Get("/v1/services/{service}/orders/{key}", n.handle("outcome", n.outcome))
+	app.Post("/v1/services/{service}/orders", n.handle(pathOrders, n.order))
+	app.Get("/v1/services/{service}/orders/{key}", n.handle(pathOutcome, n.outcome))
 	app.OnErrorCode(iris.StatusNotFound, func(c iris.Context) {
 		n.fail(c, wire.Refuse(wire.StepDecode, "", wire.ReasonNotFound, "unknown path"))
 	})
@@ -45,6 +45,19 @@
 	return app
 }
 
+// Names of the paths that take order keys.
+const (
+	pathOrders  = "orders"
+	pathOutcome = "outcome"
+)
+
+// attemptOnly states a refusal that came before the key of an order was looked at. It says nothing
+// about an earlier attempt with the key, which may have run, so it must not say "not run".
+func attemptOnly(f *wire.Failure) *wire.Failure {
+	f.Outcome, f.NotRun, f.Forwarded = wire.Unknown, false, false
+	return f
+}
+
 type handler func(*request) (any, *wire.Failure)
 
 // handle checks readiness, authentication and access before a request is decoded.
@@ -53,6 +66,9 @@
 		r := &request{Context: c, service: c.Params().Get("service"), started: time.Now()}
 		c.Request().Body = http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, int64(n.settings.Limits.BodyBytes))
 		f := n.authorize(r)
+		if f != nil && (name == pathOrders || name == pathOutcome) {
+			f = attemptOnly(f)
+		}
 		var body any
 		if f == nil {
 			body, f = next(r)
@@ -175,22 +191,16 @@
 func (n *Node) order(r *request) (any, *wire.Failure) {
 	var b wire.Order
 	if f := decode(r, &b); f != nil {
-		return nil, f
+		return nil, attemptOnly(f)
 	}
 	k := n.view.Load().catalog.Service(r.service).Kind(b.Kind)
 	if k == nil || k.Idempotent {
-		return nil, n.unsent(wire.ReasonBadRequest, "Kind: "+b.Kind+" is not a kind of order")
+		return nil, attemptOnly(wire.Refuse(wire.StepOrderKey, "", wire.ReasonBadRequest,
+			"Kind: %q is not a kind of order", b.Kind))
 	}
 	return n.takeOrder(r, wire.OrderRelay{Order: b, Deadline: r.started.Add(query.Timeout(k, b.Timeout))})
 }
 
-// unsent is a fault of one attempt. It says nothing about earlier attempts with the same key.
-func (n *Node) unsent(reason wire.Reason, text string) *wire.Failure {
-	f := wire.Uncertain(wire.StepOrderKey, "", reason, "%s", text)
-	f.Forwarded = false
-	return f
-}
-
 // lookUpTimeout bounds a look-up of the outcome of an order.
 const lookUpTimeout = 2 * time.Second
 
--- a/serve/homes.go
+++ b/serve/homes.go
@@ -59,14 +59,15 @@
 func (s *homes) hold(service string, slice int, end time.Time, gained bool) {
 	k := sliceKey{service, slice}
 	h := s.get(k)
-	if h == nil {
+	added := h == nil
+	if added {
 		h = s.add(k)
 	}
 	if h == nil {
 		return
 	}
 	h.setLease(end, gained)
-	if gained {
+	if gained || added {
 		s.update()
 	}
 }
--- a/serve/order_test.go
+++ b/serve/order_test.go
@@ -142,3 +142,30 @@
 	t.Logf("%d orders, %d unknown", len(load.orders), unknown)
 	is.True(unknown <= 24) // at most those in flight at each loss
 }
+
+// Guards against "not run" for an order that has run, in a refusal that came before its key was looked
+// at.
+func TestRefusedResendDoesNotSayNotRun(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := startFleet(t, stand.Layout{}, "Lukang", "Yilan", "Chiayi")
+	n := f.home()
+	path := "/v1/services/" + testService + "/orders"
+	good := wire.Order{Key: f.key(n), Kind: "order", Body: json.RawMessage(`1`)}
+	var r wire.OrderResult
+	_, failure := f.post(n, path, good, &r)
+	is.True(failure == nil)
+	is.Equal(r.Outcome, wire.Answered)
+	for _, bad := range []any{
+		wire.Order{Key: good.Key, Kind: "lookup", Body: good.Body},
+		struct {
+			Key   string `json:"Key"`
+			Extra int    `json:"Extra"`
+		}{good.Key, 1},
+	} {
+		_, failure = f.post(n, path, bad, nil)
+		is.Equal(failure.Outcome, wire.Unknown)
+		is.True(!failure.NotRun)
+		is.True(!failure.Forwarded)
+	}
+}
