--- a/proof/measure_test.go
+++ b/proof/measure_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -26,7 +28,7 @@
 // nodes, and measures what a change of the configuration, a domain that is out and a lost home cost.
 func TestFleetSizes(t *testing.T) {
 	t.Parallel()
-	for _, count := range []int{3, 6, 9} {
+	for _, count := range fleetSizes(t) {
 		t.Run(fmt.Sprint(count, " nodes"), func(t *testing.T) {
 			t.Parallel()
 			f := startFleet(t, count, stand.Layout{Services: 3, Servers: 6, Replicas: 3, Slots: 6, ColdSlots: 1})
@@ -38,6 +40,17 @@
 	}
 }
 
+// fleetSizes returns 3, 6 and 9, or the number of nodes in ARBUTUSTHREAD_PROOF_NODES.
+func fleetSizes(t *testing.T) []int {
+	text := os.Getenv("ARBUTUSTHREAD_PROOF_NODES")
+	if text == "" {
+		return []int{3, 6, 9}
+	}
+	count, err := strconv.Atoi(text)
+	is.New(t).NoErr(err)
+	return []int{count}
+}
+
 // measureControl returns the control bytes a second that each node sends in a steady state.
 func (f *fleet) measureControl() []string {
 	sent := func() []uint64 {
