Do not let the scheduler's own cancellations use up the tries of a task

Cause: under heavy load TestDomainOutAndBack refused 2 queries: a canary that the scheduler had cancelled three times, to take load off cold servers, counted as failed three times. A health report of a cold server also took back a step of its ramp each second. Change: such attempts do not count as tries, and reports take nothing from a server that is known to be cold.

--- a/sched/server.go
+++ b/sched/server.go
@@ -139,8 +139,9 @@
 	case wire.ServerDraining:
 		s.drain(now, v, &out)
 	case wire.ServerCold:
-		// The report may be older than the last answers, so it takes away only a step at a time.
-		if !s.config.IgnoreCold && v.permits.StepDown() {
+		// The report may be older than the last answers, so it takes away only a step, and nothing
+		// from a server that is known to be cold.
+		if !s.config.IgnoreCold && !v.permits.Cold() && v.permits.StepDown() {
 			s.cancelExcess(now, v, &out)
 		}
 	case wire.ServerReady:
@@ -185,6 +186,10 @@
 		}
 		excess--
 		s.cancel(a, out)
+		// The server did not fail the task, so the attempt does not count toward its tries.
+		if a.purpose != Hedge {
+			a.task.tries--
+		}
 		// A canary waits for the end of its attempt, which may be a crash to be marked.
 		if a.task.open && a.task.inFlight() == 0 && a.task.job.canary != a.task {
 			s.retry(now, a.task, wire.ReasonBackend, true, out)
