--- a/standin.go
+++ b/standin.go
@@ -41,14 +41,18 @@
 PUT /v1/config and a list of VMs with PUT /v1/vms at the platform's address.
 
 Example:
-  arbutusthread standin --config examples/tw-west.json`,
+  arbutusthread standin --config examples/tw-west.json
+  arbutusthread standin --config examples/mu-island.json --platform 127.0.0.1:7310`,
 		Flags: flags,
 		Exec:  c.exec,
 	}
 }
 
-// exampleNodes are the entry VMs of examples/node.json, node-2.json and node-3.json.
-var exampleNodes = []string{"Lukang=127.0.0.1:7100", "Yilan=127.0.0.1:7101", "Chiayi=127.0.0.1:7102"}
+// exampleNodes are the entry VMs of examples/node*.json.
+var exampleNodes = []string{
+	"Lukang=127.0.0.1:7100", "Yilan=127.0.0.1:7101", "Chiayi=127.0.0.1:7102",
+	"Port Louis=127.0.0.1:7110", "Curepipe=127.0.0.1:7111", "Mahebourg=127.0.0.1:7112",
+}
 
 func (c *standin) exec(ctx context.Context, args []string) error {
 	if err := wantArgs(args, 0, 0, "no arguments"); err != nil {
@@ -61,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	vms, err := c.entryVMs()
+	vms, err := c.entryVMs(config.Document)
 	if err != nil {
 		return err
 	}
@@ -98,17 +102,26 @@
 	}, nil
 }
 
-func (c *standin) entryVMs() ([]wire.VM, error) {
-	if len(c.nodes) == 0 {
-		c.nodes = exampleNodes
+// entryVMs returns the nodes of the flags, or the example nodes in failure domains of the document.
+func (c *standin) entryVMs(d *conf.Document) ([]wire.VM, error) {
+	known := make(map[string]bool)
+	for _, f := range d.FailureDomains {
+		known[f.Name] = true
+	}
+	nodes := c.nodes
+	if len(nodes) == 0 {
+		nodes = exampleNodes
 	}
 	var list []wire.VM
-	for _, n := range c.nodes {
+	for _, n := range nodes {
 		domain, text, ok := strings.Cut(n, "=")
 		address, err := netip.ParseAddrPort(text)
 		if !ok || err != nil {
 			return nil, usagef("--node: expected DOMAIN=ADDRESS, got %q", n)
 		}
+		if len(c.nodes) == 0 && !known[domain] {
+			continue
+		}
 		list = append(list, wire.VM{Address: address, Role: wire.RoleEntry, FailureDomain: domain, State: wire.VMLive})
 	}
 	return list, nil
