Fuzz the bodies of callers and of peers

Cause: these decoders had no fuzz targets. Change: FuzzCallerBody and FuzzBody check that a body that is accepted means the same when it is encoded again.

--- /dev/null
+++ b/peer/fuzz_test.go
@@ -0,0 +1,41 @@
+package peer
+
+import (
+	"reflect"
+	"testing"
+
+	jsonv2 "github.com/go-json-experiment/json"
+
+	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// Guards against a body of another node that crashes the decoder, or that means something else when it
+// is encoded again.
+func FuzzBody(f *testing.F) {
+	f.Add([]byte(`{"RequestId":"r","Service":"s","Slice":1,"Shards":["a"],"Deadline":"2026-01-01T00:00:00Z"}`))
+	f.Add([]byte(`{"RequestId":"r","Hits":[{"Id":"a","Score":0.5,"Fields":{"x":1}}],"Covered":["a"],"Missing":[{"Shard":"b","Reason":"Deadline"}]}`))
+	f.Add([]byte(`{"Order":{"Key":"k","Kind":"o","Body":1,"Timeout":"1s"},"LookUp":true}`))
+	f.Add([]byte(`{"Members":[{"Address":"127.0.0.1:1","Incarnation":5,"State":"Alive"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		for _, v := range []any{
+			&wire.SliceQuery{}, &wire.SlicePartial{}, &wire.OrderRelay{}, &wire.Execute{}, &wire.ExecuteResult{},
+			&wire.OrderResult{}, &wire.Failure{}, &fleet.Table{}, &Document{},
+		} {
+			if jsonv2.Unmarshal(body, v) != nil {
+				continue
+			}
+			raw, err := jsonv2.Marshal(v, jsonv2.Deterministic(true))
+			if err != nil {
+				continue // a time outside the years that the format can express
+			}
+			again := reflect.New(reflect.TypeOf(v).Elem()).Interface()
+			if err := jsonv2.Unmarshal(raw, again); err != nil {
+				t.Fatalf("%q becomes %s: %v", body, raw, err)
+			}
+			if second, err := jsonv2.Marshal(again, jsonv2.Deterministic(true)); err != nil || string(raw) != string(second) {
+				t.Fatalf("%s becomes %s: %v", raw, second, err)
+			}
+		}
+	})
+}
--- a/serve/caller.go
+++ b/serve/caller.go
@@ -119,8 +119,9 @@
 	return n.notReady()
 }
 
-func decode(r *request, v any) *wire.Failure {
-	d := json.NewDecoder(r.Request().Body)
+// decode reads a body that must be one JSON value with known fields.
+func decode(body io.Reader, v any) *wire.Failure {
+	d := json.NewDecoder(body)
 	d.DisallowUnknownFields()
 	err := d.Decode(v)
 	if err == nil {
@@ -149,7 +150,7 @@
 
 func (n *Node) query(r *request) (any, *wire.Failure) {
 	var q wire.Query
-	if f := decode(r, &q); f != nil {
+	if f := decode(r.Request().Body, &q); f != nil {
 		return nil, f
 	}
 	if f := n.prepare(&q); f != nil {
@@ -181,7 +182,7 @@
 	var b struct {
 		Count int `json:"Count"`
 	}
-	if f := decode(r, &b); f != nil {
+	if f := decode(r.Request().Body, &b); f != nil {
 		return nil, f
 	}
 	keys, f := n.orders.issue(r.service, r.caller.Name, max(1, b.Count))
@@ -190,7 +191,7 @@
 
 func (n *Node) order(r *request) (any, *wire.Failure) {
 	var b wire.Order
-	if f := decode(r, &b); f != nil {
+	if f := decode(r.Request().Body, &b); f != nil {
 		return nil, attemptOnly(f)
 	}
 	k := n.view.Load().catalog.Service(r.service).Kind(b.Kind)
--- /dev/null
+++ b/serve/fuzz_test.go
@@ -0,0 +1,41 @@
+package serve
+
+import (
+	"encoding/json"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// Guards against a body that crashes the decoder, or that is accepted and means something else when it
+// is passed on to another node.
+func FuzzCallerBody(f *testing.F) {
+	f.Add(`{"RequestId":"r","Kind":"lookup","Query":"pairs","TopK":10,"Timeout":"55ms"}`)
+	f.Add(`{"Key":"k","Kind":"order","Body":{"Pairs":1},"Timeout":"1s"}`)
+	f.Add(`{"Kind":"lookup"} {"Kind":"lookup"}`)
+	f.Add(`{"Timeout":55}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		for _, v := range []any{&wire.Query{}, &wire.Order{}} {
+			if failure := decode(strings.NewReader(body), v); failure != nil {
+				if !failure.NotRun || failure.Status() < 400 || failure.Status() > 499 {
+					t.Fatalf("%q: %v", body, failure)
+				}
+				continue
+			}
+			raw, err := json.Marshal(v)
+			if err != nil {
+				t.Fatal(err)
+			}
+			again := reflect.New(reflect.TypeOf(v).Elem()).Interface()
+			if failure := decode(strings.NewReader(string(raw)), again); failure != nil {
+				t.Fatalf("%q becomes %s: %v", body, raw, failure)
+			}
+			second, err := json.Marshal(again)
+			if err != nil || string(raw) != string(second) {
+				t.Fatalf("%s becomes %s: %v", raw, second, err)
+			}
+		}
+	})
+}
