Read health through the backend client, remove unused code, rename types

Cause: the read-through found health requests written twice, once in serve with a connection of its own beside the pool and once in back; four functions that nothing calls; and types named fate. Change: serve uses back.Client.Health, so that the pool counts its connection under the cap; the unused functions are gone; the types are keyOutcome and drawnFaults.

--- a/back/client.go
+++ b/back/client.go
@@ -137,16 +137,6 @@
 	k.pools.Store(&next)
 }
 
-// Connections returns the number of connections to the server that count toward its cap: idle,
-// busy, being dialled and being closed.
-func (k *Client) Connections(server netip.AddrPort) int {
-	p := (*k.pools.Load())[server]
-	if p == nil {
-		return 0
-	}
-	return p.count()
-}
-
 // Close drops all servers. Requests in flight are completed, and their connections are closed
 // after it returns. It may be called more than once.
 func (k *Client) Close() {
--- a/back/client_test.go
+++ b/back/client_test.go
@@ -330,7 +330,7 @@
 }
 
 // Guards against a connection that stays in use behind an answer to another request. Its later
-// answers are one late, so a refusal as "not run" would be taken for the fate of the wrong order.
+// answers are one late, so a refusal as "not run" would be taken for the outcome of the wrong order.
 func TestCrossedConnectionIsRetired(t *testing.T) {
 	is := is.New(t)
 	var last wire.ShardAnswer
--- a/back/pool.go
+++ b/back/pool.go
@@ -72,12 +72,6 @@
 	return p.open
 }
 
-func (p *pool) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
 func (p *pool) learn(incarnation string) {
 	p.mu.Lock()
 	p.incarnation = incarnation
--- a/call/order.go
+++ b/call/order.go
@@ -51,18 +51,18 @@
 	longestOrderPause = 500 * time.Millisecond
 )
 
-// fate is what one attempt tells of its order key.
-type fate int
+// keyOutcome is what one attempt tells of its order key.
+type keyOutcome int
 
 const (
-	// fateOpen: the order may have run or may still run.
-	fateOpen fate = iota
-	// fateDone: the order has run and the result is at hand.
-	fateDone
-	// fateClosed: the issuer says that the order has not run under this key and never will.
-	fateClosed
-	// fateUnsent: this attempt sent nothing towards the issuer. Earlier ones may have.
-	fateUnsent
+	// keyOpen: the order may have run or may still run.
+	keyOpen keyOutcome = iota
+	// keyDone: the order has run and the result is at hand.
+	keyDone
+	// keyClosed: the issuer says that the order has not run under this key and never will.
+	keyClosed
+	// keyUnsent: this attempt sent nothing towards the issuer. Earlier ones may have.
+	keyUnsent
 )
 
 // Order runs an order at most once. It sends the same key again after a broken connection or an
@@ -109,7 +109,7 @@
 	return c.place(ctx, service, key, o, true)
 }
 
-// place sends one key until its fate is certain or the time is up. The argument open tells that
+// place sends one key until its outcome is certain or the time is up. The argument open tells that
 // an earlier attempt may have run the order.
 func (c *Client) place(ctx context.Context, service string, key wire.OrderKey, o Order, open bool) OrderResult {
 	result := OrderResult{Key: key.Key, Expires: key.Expires}
@@ -117,13 +117,13 @@
 	for n := 1; ; n++ {
 		r, f := c.placeOnce(ctx, service, key, o, &tried, &result)
 		switch f {
-		case fateDone:
+		case keyDone:
 			result.Outcome, result.Failure = wire.Answered, nil
 			return result
-		case fateClosed:
+		case keyClosed:
 			result.Outcome, result.Failure = wire.Refused, r.asFailure()
 			return result
-		case fateOpen:
+		case keyOpen:
 			open = true
 		}
 		failure := r.asFailure()
@@ -152,10 +152,10 @@
 
 func (c *Client) placeOnce(
 	ctx context.Context, service string, key wire.OrderKey, o Order, tried *[]netip.AddrPort, result *OrderResult,
-) (reply, fate) {
+) (reply, keyOutcome) {
 	addresses, err := c.Addresses(ctx, service)
 	if err != nil {
-		return reply{failure: refusedKey(wire.AsFailure(err))}, fateUnsent
+		return reply{failure: refusedKey(wire.AsFailure(err))}, keyUnsent
 	}
 	peer := c.pick(addresses, *tried)
 	*tried = append(*tried, peer)
@@ -165,34 +165,34 @@
 		body.Timeout = nodeTime(time.Until(end))
 	}
 	r := c.send(ctx, peer, ordersPath(service), body, attemptTime(ctx, false))
-	return r, r.orderFate(key.Key, result)
+	return r, r.orderOutcome(key.Key, result)
 }
 
-// orderFate judges a reply to an order or to a look-up.
-func (r *reply) orderFate(key string, result *OrderResult) fate {
+// orderOutcome judges a reply to an order or to a look-up.
+func (r *reply) orderOutcome(key string, result *OrderResult) keyOutcome {
 	var got wire.OrderResult
 	if r.decode(&got) {
 		if got.Outcome == wire.Answered && got.Key == key {
 			result.Result = got.Result
-			return fateDone
+			return keyDone
 		}
 		r.reject(errors.Newf("call: result of %s has key %q and outcome %q", r.peer, got.Key, got.Outcome))
 	}
 	if r.failure == nil {
 		if r.sent {
-			return fateOpen
+			return keyOpen
 		}
-		return fateUnsent
+		return keyUnsent
 	}
 	f := r.failure
 	notRun := f.Outcome == wire.Refused && f.NotRun
 	switch {
 	case notRun && isByIssuer(f):
-		return fateClosed
+		return keyClosed
 	case notRun, !f.Forwarded && f.Outcome == wire.Unknown:
-		return fateUnsent
+		return keyUnsent
 	default:
-		return fateOpen
+		return keyOpen
 	}
 }
 
@@ -235,11 +235,11 @@
 		peer := c.pick(addresses, tried)
 		tried = append(tried, peer)
 		r := c.send(ctx, peer, ordersPath(service)+"/"+url.PathEscape(key), nil, attemptTime(ctx, n == c.config.Attempts))
-		switch r.orderFate(key, &result) {
-		case fateDone:
+		switch r.orderOutcome(key, &result) {
+		case keyDone:
 			result.Outcome = wire.Answered
 			return result
-		case fateClosed:
+		case keyClosed:
 			result.Outcome, result.Failure = wire.Refused, r.failure
 			return result
 		}
--- a/call/reply_test.go
+++ b/call/reply_test.go
@@ -25,14 +25,14 @@
 		r := reply{sent: true}
 		r.read(&http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(body))})
 		var result OrderResult
-		fate := r.orderFate("k", &result)
-		if fate == fateDone && status != http.StatusOK {
+		outcome := r.orderOutcome("k", &result)
+		if outcome == keyDone && status != http.StatusOK {
 			t.Fatal("result with an error status")
 		}
-		if fate == fateClosed && (r.failure == nil || !r.failure.NotRun || r.failure.Outcome != wire.Refused) {
+		if outcome == keyClosed && (r.failure == nil || !r.failure.NotRun || r.failure.Outcome != wire.Refused) {
 			t.Fatal("closed without a refusal")
 		}
-		if fate != fateDone && r.asFailure().Reason == "" {
+		if outcome != keyDone && r.asFailure().Reason == "" {
 			t.Fatal("failure without a reason")
 		}
 	})
--- a/peer/query.go
+++ b/peer/query.go
@@ -46,11 +46,6 @@
 	return ask(n, func(now time.Time, f *fleet.Node) bool { return f.Draining(now, service, slice) })
 }
 
-// Seats returns the members on the seats of the slice.
-func (n *Node) Seats(service string, slice int) []fleet.Member {
-	return ask(n, func(_ time.Time, f *fleet.Node) []fleet.Member { return f.Seats(service, slice) })
-}
-
 // Addresses returns the callers' addresses of the nodes on the service's seats.
 func (n *Node) Addresses(service string) []netip.AddrPort {
 	return ask(n, func(_ time.Time, f *fleet.Node) []netip.AddrPort { return f.Addresses(service) })
@@ -82,13 +77,6 @@
 	return ask(n, func(_ time.Time, f *fleet.Node) []fleet.Member { return f.Members() })
 }
 
-// Member returns the member of that address.
-func (n *Node) Member(a netip.AddrPort) (m fleet.Member, ok bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.fleet.Member(a)
-}
-
 // Version returns the version and the shortened hash of the document in force.
 func (n *Node) Version() (uint64, string) {
 	n.mu.Lock()
--- a/serve/homes.go
+++ b/serve/homes.go
@@ -108,8 +108,7 @@
 		views := s.views(v, h.key)
 		h.update(v.catalog.Document.InForce(), newestIndex(v, h.key.service), views)
 		for _, w := range views {
-			// One connection is left for the health endpoint.
-			caps = append(caps, back.Server{Address: w.Address, Connections: max(1, w.Connections-1)})
+			caps = append(caps, back.Server{Address: w.Address, Connections: w.Connections})
 		}
 	}
 	s.node.backend.SetServers(caps)
--- a/serve/node.go
+++ b/serve/node.go
@@ -51,7 +51,6 @@
 	peer     *peer.Node
 	platform *plat.Client
 	backend  *back.Client
-	health   *http.Client
 	proven   *guard.Proven
 	provenMu sync.Mutex
 
@@ -86,7 +85,6 @@
 		decisions: NewDecisions(c.Log, s.Log.Sample(), s.Limits.Decisions),
 		proven:    guard.NewProven(provenLimit, provenLifetime),
 		backend:   back.NewClient(back.Config{MaxAnswer: s.Limits.AnswerBytes, Logger: c.Log}),
-		health:    newHealthClient(),
 		stopped:   make(chan struct{}),
 	}
 	n.homes = newHomes(n)
--- a/serve/order_test.go
+++ b/serve/order_test.go
@@ -66,9 +66,9 @@
 	}
 }
 
-// Guards against a late relay that is refused at its issuer's door, and then taken for the fate of
+// Guards against a late relay that its issuer refuses before it looks at the key, taken for the outcome of
 // the key, which an earlier attempt may have run.
-func TestRefusedRelayIsNoFate(t *testing.T) {
+func TestRefusedRelayIsNoOutcome(t *testing.T) {
 	is := is.New(t)
 	o := &orders{}
 	k := order.Key{Issuer: netip.MustParseAddrPort("127.0.0.1:7100")}
@@ -113,7 +113,7 @@
 	is.True(1000*len(load.lost) <= len(load.orders))
 }
 
-// Guards against an order whose fate at the servers differs from what any node says of it, when nodes
+// Guards against an order whose outcome at the servers differs from what any node says of it, when nodes
 // are ended with orders in flight that take long.
 func TestOrdersInFlightAtTheLossOfNodes(t *testing.T) {
 	t.Parallel()
--- a/stand/answer.go
+++ b/stand/answer.go
@@ -27,7 +27,7 @@
 	return reply{status: status, body: body}
 }
 
-// result returns the answer of a request that has run, with the wrong answers of its fate.
+// result returns the answer of a request that has run, with the wrong answers that were drawn for it.
 func (s *Server) result(j *job) reply {
 	s.mu.Lock()
 	warm := j.life.warm || s.faults.SaysWarm
@@ -39,7 +39,7 @@
 	} else {
 		p = newReply(http.StatusOK, shardAnswer(j, warm, draining, s.config.Hits))
 	}
-	p.truncate, p.cutLength, p.duplicate = j.fate.truncate, j.fate.cutLength, j.fate.duplicate
+	p.truncate, p.cutLength, p.duplicate = j.drawn.truncate, j.drawn.cutLength, j.drawn.duplicate
 	return p
 }
 
@@ -48,7 +48,7 @@
 		Key: j.key, Incarnation: j.life.incarnation, Warm: warm, Draining: draining,
 		Result: json.RawMessage(fmt.Sprintf(`{"Order":%q}`, j.key)), Complete: true,
 	}
-	if j.fate.wrongRequest {
+	if j.drawn.wrongRequest {
 		a.Key += "-other"
 	}
 	return a
@@ -56,7 +56,7 @@
 
 func shardAnswer(j *job, warm, draining bool, hits int) wire.ShardAnswer {
 	version := j.version
-	if j.fate.wrongVersion {
+	if j.drawn.wrongVersion {
 		version += "-other"
 	}
 	a := wire.ShardAnswer{
@@ -64,7 +64,7 @@
 		Warm: warm, Draining: draining, Hits: Hits(j.service, j.shard, version, j.query.Query, hits, j.query.TopK),
 		Total: int64(hits), Complete: true,
 	}
-	if j.fate.wrongRequest {
+	if j.drawn.wrongRequest {
 		a.RequestID += "-other"
 	}
 	return a
--- a/stand/faults.go
+++ b/stand/faults.go
@@ -86,8 +86,8 @@
 	return rand.New(rand.NewPCG(d.seed, xxhash.Sum64String(j.id+"\x00"+j.shard+"\x00"+j.version+"\x00"+j.key)))
 }
 
-// fate is what befalls one request.
-type fate struct {
+// drawnFaults are the faults and the latency that were drawn for one request.
+type drawnFaults struct {
 	latency      time.Duration
 	shed         bool
 	hang         bool
@@ -99,10 +99,10 @@
 	duplicate    bool
 }
 
-// fate draws all shares in a fixed order, so that one fault does not shift another.
-func (s *Server) fate(j *job, f ServerFaults) fate {
+// drawFaults draws all shares in a fixed order, so that one fault does not shift another.
+func (s *Server) drawFaults(j *job, f ServerFaults) drawnFaults {
 	r := s.draw.request(j)
-	t := fate{latency: s.config.Latency.Draw(r)}
+	t := drawnFaults{latency: s.config.Latency.Draw(r)}
 	t.shed = r.Float64() < f.Shed
 	t.hang = r.Float64() < f.Hang
 	t.wrongRequest = r.Float64() < f.WrongRequest
--- a/stand/job.go
+++ b/stand/job.go
@@ -31,7 +31,7 @@
 
 	life   *life
 	wait   chan struct{}
-	fate   fate
+	drawn  drawnFaults
 	cancel context.CancelCauseFunc
 	done   chan struct{}
 }
@@ -124,7 +124,7 @@
 func (s *Server) acceptLocked(j *job, now time.Time) (*listener, wire.BackendReason, bool) {
 	l := s.life
 	j.life = l
-	j.fate = s.fate(j, s.faults)
+	j.drawn = s.drawFaults(j, s.faults)
 	s.record.arrive(now, s.draining)
 	if reason := s.check(j, now); reason != "" {
 		return nil, reason, false
@@ -158,7 +158,7 @@
 		return wire.BackendVersion
 	case j.order == nil && !s.holdsShard(j.version, j.shard):
 		return wire.BackendBadRequest
-	case j.fate.shed:
+	case j.drawn.shed:
 		return wire.BackendShed
 	case s.faults.ShedCold && !s.life.warm && s.life.active() >= s.life.bears():
 		return wire.BackendCold
@@ -191,7 +191,7 @@
 }
 
 func (s *Server) withDeadline(ctx context.Context, j *job) (context.Context, context.CancelFunc) {
-	if j.fate.hang {
+	if j.drawn.hang {
 		return ctx, func() {}
 	}
 	s.mu.Lock()
@@ -230,14 +230,14 @@
 
 // execute runs the request in its slot. An order counts as run from its start.
 func (s *Server) execute(ctx context.Context, j *job) error {
-	if j.fate.crash {
+	if j.drawn.crash {
 		s.Crash()
 		return errCrashed
 	}
 	s.mu.Lock()
-	d := time.Duration(float64(j.fate.latency) * j.life.factor())
+	d := time.Duration(float64(j.drawn.latency) * j.life.factor())
 	s.mu.Unlock()
-	if j.fate.hang {
+	if j.drawn.hang {
 		<-ctx.Done()
 	}
 	ok := sleep(ctx, d)
--- a/wire/caller.go
+++ b/wire/caller.go
@@ -80,7 +80,7 @@
 	Timeout Duration        `json:"Timeout,omitempty"`
 }
 
-// OrderResult is the fate of an order that has run.
+// OrderResult is the outcome of an order that has run.
 type OrderResult struct {
 	Key     string          `json:"Key"`
 	Outcome Outcome         `json:"Outcome"`
--- a/wire/failure.go
+++ b/wire/failure.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Outcome is what a caller is told about the fate of its request.
+// Outcome is what a caller is told about the outcome of its request.
 type Outcome string
 
 const (
