--- a/back/client.go
+++ b/back/client.go
@@ -58,6 +58,8 @@
 	MaxAnswer  int
 	// TLS enables TLS when it is not nil. An empty ServerName means the server's address.
 	TLS *tls.Config
+	// Headers are the names by which requests that are passed on speak to servers.
+	Headers wire.Headers
 	// Logger receives retired connections and crashes. Nil discards them.
 	Logger *slog.Logger
 }
@@ -72,6 +74,9 @@
 	c.UserTimeout = orDefault(c.UserTimeout, defaultUserTimeout)
 	c.MaxRequest = orDefault(c.MaxRequest, defaultMaxRequest)
 	c.MaxAnswer = orDefault(c.MaxAnswer, defaultMaxAnswer)
+	if c.Headers == (wire.Headers{}) {
+		c.Headers = wire.DefaultHeaders()
+	}
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
--- a/back/conn.go
+++ b/back/conn.go
@@ -41,6 +41,8 @@
 	// used is the time of the last use, and served is the number of answers.
 	used   time.Time
 	served int
+	// idleLimit is how long the server keeps the connection without use, 0 when it did not say.
+	idleLimit time.Duration
 	// incarnation is that of the server when the connection was taken, empty when unknown.
 	incarnation string
 	abort       func()
@@ -83,6 +85,14 @@
 	return c
 }
 
+// expired reports whether the connection has been idle for its lifetime.
+func (c *conn) expired(now time.Time, lifetime time.Duration) bool {
+	if c.idleLimit > 0 {
+		lifetime = min(lifetime, c.idleLimit)
+	}
+	return now.Sub(c.used) >= lifetime
+}
+
 // ready sets the deadline of a connection and reports whether it can be used. One that was just
 // opened needs no check, which TLS session tickets would fail.
 func (c *conn) ready(deadline time.Time, check bool) bool {
--- a/back/pool.go
+++ b/back/pool.go
@@ -81,7 +81,7 @@
 func (p *pool) reap(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.retireIdleLocked(func(c *conn) bool { return now.Sub(c.used) >= p.config.IdleLifetime })
+	p.retireIdleLocked(func(c *conn) bool { return c.expired(now, p.config.IdleLifetime) })
 }
 
 // distrust retires the idle connections that have not been used since the time. After one
@@ -116,7 +116,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if c.ready(deadline, order) {
+		if !c.expired(time.Now(), p.config.IdleLifetime) && c.ready(deadline, order) {
 			return c, nil
 		}
 		p.retire(c)
@@ -230,6 +230,12 @@
 	p.dialLocked()
 }
 
+// discard closes a connection at once.
+func (p *pool) discard(c *conn) {
+	_ = c.raw.Close()
+	p.release()
+}
+
 // retire closes a connection and counts it until the server has closed it too.
 func (p *pool) retire(c *conn) {
 	p.mu.Lock()
--- a/back/result.go
+++ b/back/result.go
@@ -60,6 +60,8 @@
 	// Warm and Draining are what the server said of itself. They are valid when Class is OK.
 	Warm     bool
 	Draining bool
+	// ColdFor is how much longer the server says it stays cold.
+	ColdFor time.Duration
 	// Fresh means that the attempt was the first on its connection.
 	Fresh bool
 	// Refused means that the server refused or reset a connection.
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -34,6 +34,30 @@
 	// KeepFor is how long callers may keep an answer with addresses, 5 s by default. A stopping
 	// node relays for this time.
 	KeepFor wire.Duration `json:"KeepFor,omitempty"`
+	// Seeds are addresses of nodes at which others are found. Only their IP addresses count; the
+	// port is that of PeerAddress.
+	Seeds []netip.AddrPort `json:"Seeds,omitempty"`
+	// DirectoryAddress tells callers which addresses to use, ReadyAddress whether this node is
+	// ready, and MetricsAddress serves metrics. They are used on deployments that ask for them.
+	DirectoryAddress netip.AddrPort `json:"DirectoryAddress,omitzero"`
+	ReadyAddress     netip.AddrPort `json:"ReadyAddress,omitzero"`
+	MetricsAddress   netip.AddrPort `json:"MetricsAddress,omitzero"`
+	Bounds           Bounds         `json:"Bounds,omitzero"`
+}
+
+// Bounds are what all nodes of a fleet keep to together.
+type Bounds struct {
+	// RetryRatio times the requests of a service in RetryWindow, plus RetrySlack, bounds the extra
+	// arrivals at the service's servers. A RetryWindow of 0 means no bound.
+	RetryRatio  float64       `json:"RetryRatio,omitempty"`
+	RetrySlack  float64       `json:"RetrySlack,omitempty"`
+	RetryWindow wire.Duration `json:"RetryWindow,omitempty"`
+	// ColdOvershoot times the rate that a cold server bears, plus ColdSlack, bounds its requests in
+	// any second.
+	ColdOvershoot float64 `json:"ColdOvershoot,omitempty"`
+	ColdSlack     float64 `json:"ColdSlack,omitempty"`
+	// StopTime is how long a node may take to stop.
+	StopTime wire.Duration `json:"StopTime,omitempty"`
 }
 
 // TLS names the PEM files of the listeners. Certificate and Key belong together; without them
--- /dev/null
+++ b/feed/reader.go
@@ -0,0 +1,150 @@
+package feed
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrGone means that the platform no longer has the changes after a revision, so that everything
+// must be loaded again.
+var ErrGone = errors.New("feed: the platform has dropped its history")
+
+const (
+	// WatchTime is how long a watch waits at the platform. A watch that is answered shows that the
+	// copy is current, so it bounds the age of the data.
+	WatchTime = time.Second
+	// batchTime is the least time between two watches, so that changes in quick succession take few
+	// calls.
+	batchTime = 100 * time.Millisecond
+	// firstRetry is the pause after the first failure. It doubles up to lastRetry, which is a third
+	// of the time in which a change must be in force.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
+	// returnTime is how long after an outage removals count as lapsed entries.
+	returnTime = 3 * time.Second
+	// StaleTime is the age of the data from which a node that is no reader reads the platform
+	// itself. It is above the age that a watch and a heartbeat give, and below the time in which a
+	// change must be in force.
+	StaleTime = 2 * time.Second
+	// staleStep delays the nodes of a failure domain in turn, so that few of them read at once.
+	staleStep = 300 * time.Millisecond
+	// staleSteps bounds the delay.
+	staleSteps = 4
+	// JoinTime is how long a node that has just started waits for the data of a peer before it
+	// reads the platform.
+	JoinTime = 2 * time.Second
+)
+
+// Reader decides when and how a node reads the platform. It is not safe for concurrent use.
+type Reader struct {
+	// started is the start of the process.
+	started time.Time
+	// seed means that others start by asking this node, so that it reads at once.
+	seed bool
+	// at is the revision after which the next watch begins, 0 before the first load.
+	at uint64
+	// reload is set when the platform no longer has the changes after at.
+	reload   bool
+	failures int
+	// returned is the end of the last outage.
+	returned time.Time
+	next     time.Time
+}
+
+// NewReader returns the reader of a node that starts now. A seed reads at once.
+func NewReader(now time.Time, seed bool) *Reader { return &Reader{started: now, seed: seed} }
+
+// Step is what a reader does next.
+type Step int
+
+// Steps of a reader.
+const (
+	// Idle means to ask again after Plan.Wait.
+	Idle Step = iota
+	// Load means to read everything.
+	Load
+	// Watch means to wait for changes after Plan.After.
+	Watch
+)
+
+// Plan is the next step of a reader.
+type Plan struct {
+	Step  Step
+	After uint64
+	Wait  time.Duration
+}
+
+// Input is what a plan depends on.
+type Input struct {
+	// Rank is the place of the node among the live ones of its failure domain.
+	Rank int
+	// Revision is that of the node's copy, 0 when it has none.
+	Revision uint64
+	// Age is how long ago the copy was known to be current; Known is false when it never was.
+	Age   time.Duration
+	Known bool
+}
+
+// Plan returns the next step.
+func (r *Reader) Plan(now time.Time, in Input) Plan {
+	if !r.isDue(now, in) {
+		return Plan{Step: Idle, Wait: batchTime}
+	}
+	if now.Before(r.next) {
+		return Plan{Step: Idle, Wait: r.next.Sub(now)}
+	}
+	after := max(r.at, in.Revision)
+	if after == 0 || r.reload {
+		return Plan{Step: Load}
+	}
+	return Plan{Step: Watch, After: after, Wait: WatchTime}
+}
+
+// isDue reports whether the node reads the platform.
+func (r *Reader) isDue(now time.Time, in Input) bool {
+	if in.Revision == 0 {
+		return r.seed || now.Sub(r.started) >= JoinTime
+	}
+	if in.Rank == 0 {
+		return true
+	}
+	limit := StaleTime + time.Duration(min(in.Rank-1, staleSteps))*staleStep
+	return !in.Known || in.Age > limit
+}
+
+// Succeed records an answer up to a revision, and marks its removals when they may be due to an
+// outage.
+func (r *Reader) Succeed(now time.Time, d *Delta) {
+	if r.failures > 0 {
+		r.returned = now
+	}
+	r.failures = 0
+	r.at = max(r.at, d.To)
+	r.reload = false
+	r.next = time.Time{}
+	if len(d.Changes) > 0 {
+		r.next = now.Add(batchTime)
+	}
+	if r.returned.IsZero() || now.Sub(r.returned) > returnTime {
+		return
+	}
+	d.Lapsed = true
+	for i := range d.Changes {
+		d.Changes[i].Lapsed = d.Changes[i].Removed != ""
+	}
+}
+
+// Fail records a read that failed.
+func (r *Reader) Fail(now time.Time, err error, jitter float64) {
+	if errors.Is(err, ErrGone) {
+		r.reload = true
+		return
+	}
+	r.failures++
+	pause := min(lastRetry, firstRetry<<min(r.failures-1, 10))
+	r.next = now.Add(time.Duration((0.5 + jitter/2) * float64(pause)))
+}
+
+// Failures returns the number of failures in a row.
+func (r *Reader) Failures() int { return r.failures }
--- a/fleet/codec.go
+++ b/fleet/codec.go
@@ -120,11 +120,11 @@
 // envelopeSize returns the most bytes that the fields of a message other than its lists take.
 func (c Codec) envelopeSize() int {
 	if c == JSON {
-		return 240
+		return 300
 	}
-	// Kind 2, serial, version, incarnation and round 10 each, hash 10, digest 6, and the map and the
-	// heads and keys of three lists 10.
-	return 80
+	// Kind 2, serial, version, incarnation, round and revision 10 each, hash 10, digest and age 6
+	// each, and the map and the heads and keys of three lists 10.
+	return 96
 }
 
 // leaseSize returns the most bytes that a lease item of the service takes.
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -107,11 +107,7 @@
 		if n.boot.answered[a] {
 			continue
 		}
-		m := n.message(KindHeartbeat)
-		n.serial++
-		m.Serial, m.Digest = n.serial, n.digest()
-		m.Updates = append(m.Updates, Update{Member: n.self.Member})
-		n.send(a, m)
+		n.send(a, n.hello())
 	}
 }
 
--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -26,8 +26,9 @@
 	if n.now.Before(n.nextBeat) {
 		return
 	}
-	n.nextBeat = n.now.Add(HeartbeatEvery)
+	n.nextBeat = n.now.Add(n.rules.heartbeat)
 	n.contactSample()
+	n.greet()
 	for _, e := range n.edges {
 		if !e.watched {
 			continue
@@ -45,7 +46,7 @@
 		m := n.message(KindHeartbeat)
 		m.Serial, m.Digest = n.serial, n.digest()
 		n.carry(e, m, n.room())
-		e.version = n.version
+		e.version, e.revision = n.version, n.feed.revision
 		n.send(e.record.Address, m)
 	}
 }
@@ -110,7 +111,7 @@
 		m.Updates = append(m.Updates, Update{Member: n.self.Member})
 	} else {
 		n.carry(e, m, n.room())
-		e.version = n.version
+		e.version, e.revision = n.version, n.feed.revision
 	}
 	n.send(from, m)
 	n.compareDigest(from, e, h.Digest)
@@ -168,10 +169,7 @@
 	// Each node begins at another place, so that an address is probed by different nodes in turn.
 	n.probes++
 	at := int((n.self.hash>>1 + uint64(n.probes)) % uint64(count))
-	m := n.message(KindHeartbeat)
-	n.serial++
-	m.Serial, m.Digest = n.serial, n.digest()
-	m.Updates = append(m.Updates, Update{Member: n.self.Member})
+	m := n.hello()
 	if at >= len(n.table.lost) {
 		n.send(n.contacts[at-len(n.table.lost)], m)
 		return
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -167,6 +167,39 @@
 	return all
 }
 
+// SetSeeds names addresses to contact until this node has joined the fleet, and now and then
+// afterwards while the node does not know them. Some of them may be dead.
+func (n *Node) SetSeeds(now time.Time, seeds []netip.AddrPort) []Output {
+	n.see(now)
+	n.contacts = n.contacts[:0]
+	for _, a := range seeds {
+		if a != n.self.Address && n.table.records[a] == nil {
+			n.contacts = append(n.contacts, a)
+		}
+	}
+	n.greet()
+	return n.take()
+}
+
+// greet sends a heartbeat to each contact while this node has not joined.
+func (n *Node) greet() {
+	if n.joined {
+		return
+	}
+	for _, a := range n.contacts {
+		n.send(a, n.hello())
+	}
+}
+
+// hello returns a heartbeat that introduces this node.
+func (n *Node) hello() *Message {
+	m := n.message(KindHeartbeat)
+	n.serial++
+	m.Serial, m.Digest = n.serial, n.digest()
+	m.Updates = append(m.Updates, Update{Member: n.self.Member})
+	return m
+}
+
 // SetVMs takes over the platform's list of VMs: addresses that the node does not know are
 // contacted, and members that are Down and no longer listed are removed.
 func (n *Node) SetVMs(now time.Time, vms []wire.VM) []Output {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -46,6 +46,10 @@
 	Leases  []LeaseItem `json:"Leases,omitempty" cbor:"8,keyasint,omitempty"`
 	Updates []Update    `json:"Updates,omitempty" cbor:"9,keyasint,omitempty"`
 	Notes   []Note      `json:"Notes,omitempty" cbor:"10,keyasint,omitempty"`
+	// Revision is that of the sender's copy of what the platform publishes, and Age the number of
+	// milliseconds since it was known to be current. An Age of 0 means that it never was.
+	Revision uint64 `json:"Revision,omitempty" cbor:"11,keyasint,omitempty"`
+	Age      uint32 `json:"Age,omitempty" cbor:"12,keyasint,omitempty"`
 }
 
 // items returns the lease items with their rounds.
@@ -124,6 +128,8 @@
 	ConfigNewer EventKind = "ConfigNewer"
 	// ConfigConflict tells that Peer has another document of the version in force here.
 	ConfigConflict EventKind = "ConfigConflict"
+	// FeedNewer asks the caller to pull changes from Peer, whose copy has the revision Version.
+	FeedNewer EventKind = "FeedNewer"
 	// TableWanted asks the caller to get the member table from Peer and to call Merge.
 	TableWanted EventKind = "TableWanted"
 	// NoteReceived carries a note that is new here.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -24,6 +24,9 @@
 	Start time.Time
 	// Codec is that of the messages which the node sends.
 	Codec Codec
+	// Heartbeat is the time between two heartbeats to a watched member; 0 means HeartbeatEvery.
+	// Failures are detected after four of them.
+	Heartbeat time.Duration
 }
 
 // Node is one node's part in the fleet.
@@ -46,6 +49,7 @@
 	version uint64
 	hash    string
 	config  configWatch
+	feed    feedWatch
 	boot    bootstrap
 
 	notes      map[string]Note
@@ -76,7 +80,11 @@
 
 // New returns a node that knows only itself.
 func New(c Config, now time.Time) *Node {
-	return newNode(c, now, defaultRules())
+	r := defaultRules()
+	if c.Heartbeat > 0 {
+		r.heartbeat, r.refuteTime = c.Heartbeat, c.Heartbeat
+	}
+	return newNode(c, now, r)
 }
 
 func newNode(c Config, now time.Time, r rules) *Node {
@@ -105,6 +113,7 @@
 		return n.take()
 	}
 	n.hearConfig(from, m)
+	n.hearFeed(from, m)
 	m.Leases = m.items()
 	for _, u := range m.Updates {
 		n.update(from, u, true)
@@ -230,7 +239,10 @@
 }
 
 func (n *Node) message(k Kind) *Message {
-	m := &Message{Kind: k, Incarnation: n.self.Incarnation, Version: n.version, Hash: n.hash}
+	m := &Message{
+		Kind: k, Incarnation: n.self.Incarnation, Version: n.version, Hash: n.hash,
+		Revision: n.feed.revision, Age: n.feedAge(),
+	}
 	if n.codec == CBOR && k.isLease() {
 		// Heartbeats compare the hashes already. Nodes that know only JSON take a hash that is left out
 		// for a conflict.
--- a/fleet/query.go
+++ b/fleet/query.go
@@ -82,6 +82,18 @@
 // IsReader reports whether this node is one of the two of its domain that watch the platform.
 func (n *Node) IsReader() bool { return n.view.isReader(n.self) }
 
+// DomainRank returns the place of this node among the live members of its failure domain, in an
+// order that all nodes share. The one in place 0 reads the platform.
+func (n *Node) DomainRank() int {
+	rank := 0
+	for _, r := range n.table.records {
+		if r.State == StateAlive && r.FailureDomain == n.self.FailureDomain && r.hash < n.self.hash {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Ready reports whether the node may serve: a majority of the bootstrap sample has answered, and
 // the highest version heard was in force then.
 func (n *Node) Ready() bool { return n.boot.ready }
--- a/fleet/rules.go
+++ b/fleet/rules.go
@@ -37,6 +37,8 @@
 	observers int
 	// refuteTime is how long a suspected member may refute.
 	refuteTime time.Duration
+	// heartbeat is the time between two heartbeats to a watched member.
+	heartbeat time.Duration
 	// misses is the number of unanswered heartbeats in a row that raise a suspicion.
 	misses int
 	// pauseGap is the time between two calls above which the node counts as having paused.
@@ -55,8 +57,9 @@
 		promiseTime: LeaseTime, holderTime: LeaseTime * 9 / 10,
 		startAbstention: LeaseTime, seatAbstention: LeaseTime, documentAbstention: 10 * time.Second,
 		provisionalTime: 10 * time.Minute,
-		observers:       2, refuteTime: time.Second, misses: 3, pauseGap: time.Second, digestStreak: 10,
-		accepts: func(current, next uint64) bool { return next > current },
-		quorum:  func(group int) int { return group/2 + 1 },
+		observers:       2, refuteTime: time.Second, heartbeat: HeartbeatEvery, misses: 3, pauseGap: time.Second,
+		digestStreak: 10,
+		accepts:      func(current, next uint64) bool { return next > current },
+		quorum:       func(group int) int { return group/2 + 1 },
 	}
 }
--- a/fleet/spread.go
+++ b/fleet/spread.go
@@ -50,6 +50,8 @@
 	next    uint64
 	// version is the configuration version last told to the member.
 	version uint64
+	// revision is that of the platform's data last told to the member.
+	revision uint64
 	// serial is that of the last heartbeat, acked tells whether it was answered.
 	serial uint64
 	acked  bool
@@ -153,12 +155,12 @@
 // flush sends pending items and news of the configuration's version along all edges.
 func (n *Node) flush() {
 	for _, e := range n.edges {
-		if e.version >= n.version && !n.isPending(e) {
+		if e.version >= n.version && e.revision >= n.feed.revision && !n.isPending(e) {
 			continue
 		}
 		m := n.message(KindUpdate)
 		n.carry(e, m, n.room())
-		e.version = n.version
+		e.version, e.revision = n.version, n.feed.revision
 		n.send(e.record.Address, m)
 	}
 }
--- /dev/null
+++ b/front/handler.go
@@ -0,0 +1,145 @@
+// Package front serves callers of routed requests over HTTP: it reads a request whole, lets a node
+// serve it and writes the answer, so that each status keeps its promise.
+package front
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/back"
+	"github.com/arbutusthread/arbutusthread/node"
+	"github.com/arbutusthread/arbutusthread/table"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// Backend serves requests that have been read.
+type Backend interface {
+	// Table returns the routes in force, or nil before the first configuration.
+	Table() *table.Table
+	// Serve serves a request. Its error is that of ctx when the caller has left.
+	Serve(ctx context.Context, r *node.Request) (node.Outcome, error)
+}
+
+// Config describes a handler.
+type Config struct {
+	Backend Backend
+	Headers wire.Headers
+	Log     *slog.Logger
+}
+
+// Handler serves the requests of callers.
+type Handler struct {
+	config Config
+}
+
+// NewHandler returns a handler.
+func NewHandler(c Config) *Handler { return &Handler{config: c} }
+
+// notReadyRetry is when a caller should come back to a node that knows no configuration yet.
+const notReadyRetry = 500 * time.Millisecond
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := time.Now()
+	t := h.config.Backend.Table()
+	if t == nil {
+		h.refuse(w, r, http.StatusServiceUnavailable, "no configuration is known yet", notReadyRetry)
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route := t.Match(r.Host, path)
+	if route == nil {
+		h.refuse(w, r, http.StatusNotFound, "no route matches", 0)
+		return
+	}
+	body, status := readBody(w, r, t.Config().Limits)
+	if status != 0 {
+		h.refuse(w, r, status, "the request cannot be read", 0)
+		return
+	}
+	q := h.request(r, route, body, started)
+	out, err := h.config.Backend.Serve(r.Context(), q)
+	if err != nil {
+		// The caller has left, so that nothing can be written.
+		panic(http.ErrAbortHandler)
+	}
+	h.answer(w, r, q, &out, started)
+}
+
+func (h *Handler) request(r *http.Request, route *table.Route, body []byte, now time.Time) *node.Request {
+	names := &h.config.Headers
+	var caller time.Duration
+	if ms, err := strconv.ParseInt(r.Header.Get(names.Timeout), 10, 32); err == nil && ms > 0 {
+		caller = time.Duration(ms) * time.Millisecond
+	}
+	q := &node.Request{
+		Route: route, Deadline: route.Deadline(now, caller).Add(-answerMargin),
+		Forward: back.Forward{
+			Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body,
+			RequestID: r.Header.Get(names.RequestID), Header: forwardHeader(r.Header, names),
+		},
+	}
+	if d := route.TargetLatency.Std(); d > 0 {
+		q.Target = now.Add(d - targetMargin(d))
+	}
+	return q
+}
+
+const (
+	// answerMargin is the time before the deadline at which a request is answered, so that the
+	// answer arrives in time.
+	answerMargin = 5 * time.Millisecond
+	// minTargetMargin and targetShare give the time before the end of the response-time objective at
+	// which an answer with the parts that are in is sent: for the ways to the caller and back, and a
+	// new connection.
+	minTargetMargin = 6 * time.Millisecond
+	targetShare     = 0.06
+)
+
+func targetMargin(d time.Duration) time.Duration {
+	return max(minTargetMargin, time.Duration(targetShare*float64(d)))
+}
+
+// readBody reads the body of a request. It returns a status when the request exceeds a limit.
+func readBody(w http.ResponseWriter, r *http.Request, l table.Limits) ([]byte, int) {
+	limit := int64(l.BodyBytes)
+	if limit <= 0 {
+		limit = table.DefaultBodyBytes
+	}
+	if r.ContentLength > limit {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, 0
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, http.StatusRequestEntityTooLarge
+	case err != nil:
+		return nil, http.StatusBadRequest
+	}
+	return body, 0
+}
+
+// refuse answers a request that has not run.
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, status int, reason string, after time.Duration) {
+	if after > 0 {
+		w.Header().Set("Retry-After", seconds(after))
+	}
+	h.config.Log.Info("refused", "RequestId", r.Header.Get(h.config.Headers.RequestID), "Status", status, "Reason", reason)
+	http.Error(w, reason, status)
+}
+
+// seconds writes a time in seconds with a fraction.
+func seconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', -1, 64)
+}
--- /dev/null
+++ b/gather/budget.go
@@ -0,0 +1,70 @@
+package gather
+
+import "time"
+
+// BudgetConfig bounds the arrivals at a service beyond the first of each request. All nodes
+// together may send Ratio times the requests of a window plus Slack in any window. Each node keeps
+// to its own requests and an equal part of the slack, so that the bound holds without messages.
+type BudgetConfig struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// bucketsPerWindow is the resolution with which a window slides. One bucket more than the window is
+// counted, so that a budget is never above the bound.
+const bucketsPerWindow = 20
+
+// budget counts the requests and extra arrivals of one pool in a sliding window.
+type budget struct {
+	first [bucketsPerWindow + 1]int
+	extra [bucketsPerWindow + 1]int
+	// last is the number of the newest bucket since the zero time.
+	last int64
+}
+
+func (b *budget) slide(c *BudgetConfig, now time.Time) {
+	at := now.UnixNano() / int64(c.Window/bucketsPerWindow)
+	if at <= b.last {
+		return
+	}
+	for i := max(b.last+1, at-bucketsPerWindow); i <= at; i++ {
+		b.first[i%int64(len(b.first))] = 0
+		b.extra[i%int64(len(b.extra))] = 0
+	}
+	b.last = at
+}
+
+// request counts a first arrival.
+func (b *budget) request(c *BudgetConfig, now time.Time) {
+	if c.Window <= 0 {
+		return
+	}
+	b.slide(c, now)
+	b.first[b.last%int64(len(b.first))]++
+}
+
+// spend takes an extra arrival out of the budget, if one is left.
+func (b *budget) spend(c *BudgetConfig, now time.Time, nodes int) bool {
+	if c.Window <= 0 {
+		return true
+	}
+	b.slide(c, now)
+	first, extra := 0, 0
+	for i := range b.first {
+		first += b.first[i]
+		extra += b.extra[i]
+	}
+	if float64(extra+1) > c.Ratio*float64(first)+c.Slack/float64(nodes) {
+		return false
+	}
+	b.extra[b.last%int64(len(b.extra))]++
+	return true
+}
+
+// refund gives back an extra arrival that did not reach a server.
+func (b *budget) refund() {
+	if i := b.last % int64(len(b.extra)); b.extra[i] > 0 {
+		b.extra[i]--
+	}
+}
--- /dev/null
+++ b/gather/choose.go
@@ -0,0 +1,90 @@
+package gather
+
+import "time"
+
+const (
+	// domainPenalty is what a server in another failure domain must be faster by: the round trip
+	// between domains, which a measured latency already has, and the cost of the bytes that cross.
+	domainPenalty = 2.0
+	// stallShare of the tail latency of a class is the time without an answer after which a server
+	// counts as stalled.
+	stallShare = 1.2
+	// stallSlowness is the slowness of a stalled server, and coldSlowness of a cold one.
+	stallSlowness = 8.0
+	coldSlowness  = 1.6
+)
+
+// choose returns the server for the next attempt of a task, or nil when none can take it. Servers
+// that the task has used already are left out.
+func (e *Engine) choose(now time.Time, j *job, p *pool, t *task) *server {
+	if p == nil {
+		return nil
+	}
+	var best, spare *server
+	least, leastSpare := 0.0, 0.0
+	for _, s := range p.servers {
+		if s.Draining || t.used(s) || !s.hasRoom(now, e.nodes) {
+			continue
+		}
+		v := e.score(now, j, s)
+		if now.Before(s.ejectedUntil) {
+			if spare == nil || v < leastSpare {
+				spare, leastSpare = s, v
+			}
+			continue
+		}
+		if best == nil || v < least {
+			best, least = s, v
+		}
+	}
+	if best == nil {
+		// An ejected server is better than none.
+		return spare
+	}
+	return best
+}
+
+func (t *task) used(s *server) bool {
+	if t == nil {
+		return false
+	}
+	for _, a := range t.attempts {
+		if a.server == s {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRoom reports whether the server may get another request from this node.
+func (s *server) hasRoom(now time.Time, nodes int) bool {
+	if s.Connections > 0 && len(s.open) >= s.Connections {
+		return false
+	}
+	if s.ColdRate > 0 && s.cold(now) {
+		return float64(s.sent.count(now)+1) <= s.ColdRate/float64(nodes)
+	}
+	return true
+}
+
+// score is the expected latency of a request relative to the typical one of its class.
+func (e *Engine) score(now time.Time, j *job, s *server) float64 {
+	v := s.slownessNow(now)
+	if s.cold(now) {
+		v = max(v, coldSlowness)
+	}
+	if wait := time.Duration(stallShare * float64(j.class.tail(j.target()))); s.stalled(now, wait) {
+		v = max(v, stallSlowness)
+	}
+	if queue := len(s.open) + 1 - s.Slots; queue > 0 && s.Slots > 0 {
+		v *= 1 + float64(queue)/float64(s.Slots)
+	}
+	if s.FailureDomain != e.config.FailureDomain {
+		v *= domainPenalty
+	}
+	// Equal servers share the load.
+	return v * (1 + tieSpread*e.rand.Float64())
+}
+
+// tieSpread is the part of a score that is drawn, so that nodes with equal views do not choose alike.
+const tieSpread = 0.1
--- /dev/null
+++ b/gather/job.go
@@ -0,0 +1,364 @@
+package gather
+
+import (
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/route"
+)
+
+// Request is a request to serve.
+type Request struct {
+	// Class groups requests with alike latencies, for example those of one route.
+	Class string
+	// Pools has one pool for each shard.
+	Pools []string
+	// Idempotent allows hedges, and retries after failures that may have run.
+	Idempotent bool
+	// MinCoverage is the least share of shards that an answer must cover.
+	MinCoverage float64
+	// MaxAttempts is the number of servers to which each shard may be sent.
+	MaxAttempts int
+	// Deadline is when the request must have its final answer.
+	Deadline time.Time
+	// Target is the end of the response-time objective; zero means none.
+	Target time.Time
+}
+
+// job is a request in progress.
+type job struct {
+	Request
+	id       JobID
+	class    *class
+	started  time.Time
+	tasks    []task
+	answered int
+	// lost counts tasks that can no longer be answered.
+	lost int
+	sent bool
+	// reason is the last cause of a lost task.
+	reason string
+}
+
+// task is the work of a request on one shard.
+type task struct {
+	pool     *pool
+	index    int
+	attempts []*attempt
+	answered bool
+	lost     bool
+	// servers counts those that may have got the request.
+	servers int
+	hedgeAt time.Time
+}
+
+// attempt is one sending of a task to a server.
+type attempt struct {
+	id       AttemptID
+	job      *job
+	task     *task
+	server   *server
+	purpose  Purpose
+	sentAt   time.Time
+	ended    bool
+	canceled bool
+}
+
+// Submit adds a request. It may be refused at once, in which case Finished is set.
+func (e *Engine) Submit(now time.Time, r Request) (JobID, Actions) {
+	e.lastJob++
+	j := &job{Request: r, id: e.lastJob, started: now, tasks: make([]task, len(r.Pools)), class: e.class(r.Class)}
+	var act Actions
+	if reason := e.unservable(now, j); reason != "" {
+		act.Finished = &Finished{Job: j.id, End: Refused, Total: len(j.tasks), RetryAfter: retryAfter, Reason: reason}
+		return j.id, act
+	}
+	e.jobs[j.id] = j
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		t.index, t.pool = i, e.pools[r.Pools[i]]
+		if t.pool == nil {
+			j.lose(t, "no server of "+r.Pools[i]+" is listed")
+			continue
+		}
+		t.pool.budget.request(&e.config.Budget, now)
+		e.sendPrimary(now, j, t, &act)
+	}
+	e.conclude(now, j, &act)
+	return j.id, act
+}
+
+// retryAfter is the time after which a request that cannot be served is worth another attempt. It
+// is the time in which a server that was ejected is tried again.
+const retryAfter = firstEjection
+
+func (e *Engine) class(name string) *class {
+	c := e.classes[name]
+	if c == nil {
+		c = &class{latencies: route.NewDistribution()}
+		e.classes[name] = c
+	}
+	return c
+}
+
+// unservable returns why the request cannot be served now, or nothing.
+func (e *Engine) unservable(now time.Time, j *job) string {
+	missing := 0
+	name := ""
+	for _, p := range j.Pools {
+		if e.choose(now, j, e.pools[p], nil) == nil {
+			missing++
+			name = p
+		}
+	}
+	if !j.reaches(len(j.Pools) - missing) {
+		return "no server of " + name + " can take it"
+	}
+	return ""
+}
+
+// reaches reports whether the number of shards is enough for an answer.
+func (j *job) reaches(answered int) bool {
+	return answered > 0 && float64(answered) >= j.MinCoverage*float64(len(j.Pools))-coverageSlack
+}
+
+// coverageSlack makes up for the rounding of shares such as 0.89 of 100.
+const coverageSlack = 1e-9
+
+func (j *job) lose(t *task, reason string) {
+	if t.lost {
+		return
+	}
+	t.lost = true
+	j.lost++
+	j.reason = reason
+}
+
+func (j *job) target() time.Duration {
+	if j.Target.IsZero() {
+		return j.Deadline.Sub(j.started)
+	}
+	return j.Target.Sub(j.started)
+}
+
+func (e *Engine) sendPrimary(now time.Time, j *job, t *task, act *Actions) {
+	s := e.choose(now, j, t.pool, nil)
+	if s == nil {
+		j.lose(t, "no server of "+t.pool.name+" can take it")
+		return
+	}
+	e.send(now, j, t, s, Primary, act)
+	t.hedgeAt = e.hedgeTime(now, j)
+}
+
+func (e *Engine) send(now time.Time, j *job, t *task, s *server, p Purpose, act *Actions) {
+	e.lastSent++
+	a := &attempt{id: e.lastSent, job: j, task: t, server: s, purpose: p, sentAt: now}
+	e.attempts[a.id] = a
+	t.attempts = append(t.attempts, a)
+	t.servers++
+	s.open = append(s.open, a)
+	s.sent.add(now)
+	act.Sends = append(act.Sends, Send{
+		Attempt: a.id, Job: j.id, Task: t.index, Pool: t.pool.name, Server: s.Server, Purpose: p, Deadline: j.Deadline,
+	})
+}
+
+// Done ends an attempt. Actions.Accepted tells whether its answer is to be used; every other answer
+// must be dropped.
+func (e *Engine) Done(now time.Time, id AttemptID, r Result) Actions {
+	var act Actions
+	a := e.attempts[id]
+	if a == nil || a.ended {
+		return act
+	}
+	a.ended = true
+	delete(e.attempts, id)
+	a.server.drop(a)
+	e.learn(now, a, r, &act)
+	j, t := a.job, a.task
+	if r.Class.mayHaveRun() {
+		j.sent = true
+	} else {
+		t.servers--
+		if a.purpose != Primary && r.Class != NotRun && r.Class != OtherServer {
+			t.pool.budget.refund()
+		}
+	}
+	if e.jobs[j.id] != j || t.answered || t.lost {
+		return act
+	}
+	switch {
+	case r.Class == OK, len(j.tasks) == 1 && e.isFinal(now, j, t, r.Class):
+		t.answered = true
+		j.answered++
+		act.Accepted = true
+		t.drop(&act.Drops)
+	default:
+		e.afterFailure(now, j, t, r, &act)
+	}
+	e.conclude(now, j, &act)
+	return act
+}
+
+// isFinal reports whether an answer that is not a success is what the caller of a request with one
+// shard gets. A fault of the server is, when no other attempt is in flight and none is allowed.
+func (e *Engine) isFinal(now time.Time, j *job, t *task, c Class) bool {
+	switch c {
+	case Answered:
+		return true
+	case ServerError:
+		return t.inFlight() == 0 && (!j.Idempotent || !e.mayRetry(now, j, t))
+	}
+	return false
+}
+
+func (t *task) inFlight() int {
+	n := 0
+	for _, a := range t.attempts {
+		if !a.ended && !a.canceled {
+			n++
+		}
+	}
+	return n
+}
+
+// learn includes the end of an attempt in what is known of its server.
+func (e *Engine) learn(now time.Time, a *attempt, r Result, act *Actions) {
+	s, c := a.server, a.job.class
+	if r.ColdFor > 0 {
+		s.ColdUntil = now.Add(r.ColdFor)
+	}
+	typical := float64(c.typical(a.job.target()))
+	switch r.Class {
+	case OK, Answered:
+		c.latencies.Add(r.Latency)
+		s.observe(now, float64(r.Latency)/typical)
+		s.succeed(now)
+	case ServerError:
+		s.answeredAt = now
+		e.ejectAfter(now, s, false, r, act)
+	case NotRun:
+		// A server that sheds is alive and full.
+		s.answeredAt = now
+		s.observe(now, shedSlowness)
+		e.ejectAfter(now, s, false, r, act)
+	case OtherServer, Unsent:
+		e.ejectAfter(now, s, true, r, act)
+	case Broken:
+		e.ejectAfter(now, s, false, r, act)
+	case TimedOut, Canceled:
+		if elapsed := float64(now.Sub(a.sentAt)); elapsed > typical*s.slownessNow(now) && s.answeredAt.Before(a.sentAt) {
+			s.observe(now, elapsed/typical)
+		}
+		if r.Class == TimedOut && s.answeredAt.Before(a.sentAt) {
+			e.ejectAfter(now, s, false, r, act)
+		}
+	}
+}
+
+// shedSlowness is the slowness that a refusal for want of room counts for.
+const shedSlowness = 4
+
+func (e *Engine) ejectAfter(now time.Time, s *server, severe bool, r Result, act *Actions) {
+	if s.fail(now, severe) {
+		act.Events = append(act.Events, Event{
+			Name: "eject", Pool: s.pool.name, Server: s.ID, Detail: string(r.Class) + ": " + r.Detail,
+		})
+	}
+}
+
+// afterFailure retries a task whose attempt has failed, or gives it up.
+func (e *Engine) afterFailure(now time.Time, j *job, t *task, r Result, act *Actions) {
+	if r.Class.mayHaveRun() && !j.Idempotent {
+		j.lose(t, string(r.Class)+": "+r.Detail)
+		return
+	}
+	if t.inFlight() > 0 {
+		return
+	}
+	if e.mayRetry(now, j, t) {
+		s := e.choose(now, j, t.pool, t)
+		if s != nil && t.pool.budget.spend(&e.config.Budget, now, e.nodes) {
+			e.send(now, j, t, s, Retry, act)
+			t.hedgeAt = e.hedgeTime(now, j)
+			return
+		}
+	}
+	j.lose(t, string(r.Class)+": "+r.Detail)
+}
+
+func (e *Engine) mayRetry(now time.Time, j *job, t *task) bool {
+	return t.servers < j.MaxAttempts && len(t.attempts) < maxTries && now.Before(j.Deadline)
+}
+
+// maxTries bounds the sends of a task, with those that reached no server.
+const maxTries = 6
+
+// drop marks the attempts of a task that are in flight as unwanted and adds them to a list.
+func (t *task) drop(list *[]AttemptID) {
+	for _, a := range t.attempts {
+		if !a.ended && !a.canceled {
+			a.canceled = true
+			*list = append(*list, a.id)
+		}
+	}
+}
+
+// Abandon ends a request whose caller has left.
+func (e *Engine) Abandon(id JobID) Actions {
+	var act Actions
+	if j := e.jobs[id]; j != nil {
+		e.end(j, &act.Cancels)
+	}
+	return act
+}
+
+// end forgets a job and lists its attempts in flight.
+func (e *Engine) end(j *job, list *[]AttemptID) {
+	delete(e.jobs, j.id)
+	for i := range j.tasks {
+		j.tasks[i].drop(list)
+	}
+}
+
+// Tick carries out what is due for a request.
+func (e *Engine) Tick(now time.Time, id JobID) Actions {
+	var act Actions
+	j := e.jobs[id]
+	if j == nil {
+		return act
+	}
+	if !now.Before(j.Deadline) {
+		e.finish(j, Expired, &act)
+		return act
+	}
+	e.hedge(now, j, &act)
+	e.conclude(now, j, &act)
+	return act
+}
+
+// NextWake returns the time at which Tick is due for a request, zero when it has ended.
+func (e *Engine) NextWake(now time.Time, id JobID) time.Time {
+	j := e.jobs[id]
+	if j == nil {
+		return time.Time{}
+	}
+	wake := j.Deadline
+	if !j.Target.IsZero() && now.Before(j.Target) {
+		wake = earlier(wake, j.Target)
+	}
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if !t.answered && !t.lost && !t.hedgeAt.IsZero() {
+			wake = earlier(wake, t.hedgeAt)
+		}
+	}
+	return wake
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/gather/merge.go
@@ -0,0 +1,47 @@
+package gather
+
+import (
+	"bytes"
+	"container/heap"
+)
+
+// RecordSize is the length of a record in bytes.
+const RecordSize = 16
+
+// TopK returns the greatest k records of the parts, greatest first, compared byte by byte. Equal
+// records all count. A remainder of a part that is shorter than a record is left out.
+func TopK(parts [][]byte, k int) []byte {
+	h := make(records, 0, k+1)
+	for _, p := range parts {
+		for ; len(p) >= RecordSize; p = p[RecordSize:] {
+			r := p[:RecordSize]
+			if len(h) < k {
+				heap.Push(&h, r)
+			} else if k > 0 && bytes.Compare(r, h[0]) > 0 {
+				h[0] = r
+				heap.Fix(&h, 0)
+			}
+		}
+	}
+	top := make([]byte, len(h)*RecordSize)
+	for i := len(h) - 1; i >= 0; i-- {
+		copy(top[i*RecordSize:], heap.Pop(&h).([]byte))
+	}
+	return top
+}
+
+// records is a heap with the least record first.
+type records [][]byte
+
+func (h records) Len() int           { return len(h) }
+func (h records) Less(i, j int) bool { return bytes.Compare(h[i], h[j]) < 0 }
+func (h records) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *records) Push(x any)        { *h = append(*h, x.([]byte)) }
+
+// Pop removes the last record, as package heap asks for.
+func (h *records) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
--- a/main.go
+++ b/main.go
@@ -70,6 +70,7 @@
 		newStatus,
 		newExplain,
 		newServe,
+		newNode,
 		newStandin,
 		newLoad,
 		newDemo,
--- /dev/null
+++ b/node/install.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/back"
+	"github.com/arbutusthread/arbutusthread/feed"
+	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/table"
+)
+
+func (n *Node) revision() uint64 {
+	n.feedMu.Lock()
+	defer n.feedMu.Unlock()
+	return n.feed.Revision()
+}
+
+func (n *Node) feedSince(after uint64) feed.Delta {
+	n.feedMu.Lock()
+	defer n.feedMu.Unlock()
+	return n.feed.Since(after)
+}
+
+// fed takes over changes from a peer.
+func (n *Node) fed(d feed.Delta) error {
+	if d.Full && d.To == 0 {
+		return errNoFeed
+	}
+	return n.apply(time.Now(), d, "peer")
+}
+
+// apply takes over changes and puts them in force.
+func (n *Node) apply(now time.Time, d feed.Delta, from string) error {
+	n.feedMu.Lock()
+	changed, err := n.feed.Apply(now, d)
+	revision := n.feed.Revision()
+	n.feedMu.Unlock()
+	if err != nil {
+		return err
+	}
+	if changed {
+		n.log.Info("data changed", "From", from, "Revision", revision, "Changes", len(d.Changes), "Full", d.Full)
+		n.install(now)
+	}
+	return nil
+}
+
+// expire drops servers that have been held for their time.
+func (n *Node) expire() { n.install(time.Now()) }
+
+// install puts the present data in force.
+func (n *Node) install(now time.Time) {
+	n.feedMu.Lock()
+	defer n.feedMu.Unlock()
+	v := n.feed.View(now)
+	if !v.Until.IsZero() {
+		n.expiry.Reset(v.Until.Sub(now))
+	}
+	if v.Config == nil {
+		return
+	}
+	t := n.table.Load()
+	if t == nil || t.Config() != v.Config {
+		t = table.New(v.Config)
+		n.log.Info("configuration in force", "Version", v.Config.Version, "Routes", len(v.Config.Routes))
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	pools, servers := n.pools(t, &v)
+	n.backend.SetServers(servers)
+	n.engine.SetPools(pools)
+	n.splitter.Keep(t)
+	n.table.Store(t)
+}
+
+// pools returns the servers by service. A service that no configuration names yet is kept, so that
+// its servers are known when one does.
+func (n *Node) pools(t *table.Table, v *feed.View) ([]gather.Pool, []back.Server) {
+	nodes := max(1, len(n.peer.Members()))
+	byName := make(map[string]int)
+	var pools []gather.Pool
+	for name := range servicesOf(t, v) {
+		byName[name] = len(pools)
+		pools = append(pools, gather.Pool{Name: name})
+	}
+	var servers []back.Server
+	for _, s := range v.Servers {
+		service := t.Service(s.Service)
+		x := gather.Server{
+			ID: s.ID, Address: s.Address, FailureDomain: s.FailureDomain, Slots: s.Slots,
+			Draining: s.Draining || v.Out[s.FailureDomain], ColdUntil: s.ColdUntil,
+		}
+		if service != nil {
+			x.Connections = share(service.Connections, nodes)
+			x.ColdRate = n.coldRate(service)
+		}
+		p := &pools[byName[s.Service]]
+		p.Servers = append(p.Servers, x)
+		servers = append(servers, back.Server{Address: s.Address, Connections: x.Connections})
+	}
+	return pools, servers
+}
+
+func servicesOf(t *table.Table, v *feed.View) map[string]bool {
+	names := make(map[string]bool)
+	for _, s := range t.Config().Services {
+		names[s.Name] = true
+	}
+	for _, s := range v.Servers {
+		names[s.Service] = true
+	}
+	return names
+}
+
+// share returns a node's part of the connections that a server accepts, at least one.
+func share(connections, nodes int) int {
+	if connections <= 0 {
+		return 0
+	}
+	return max(1, connections/nodes)
+}
+
+// coldRate returns the requests a second that all nodes may send to a cold server.
+func (n *Node) coldRate(s *table.Service) float64 {
+	if s.ColdRate <= 0 {
+		return 0
+	}
+	b := n.config.Settings.Bounds
+	return s.ColdRate*b.ColdOvershoot + b.ColdSlack
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,173 @@
+// Package node runs one node for routed requests: it reads the platform, passes its data on to
+// other nodes, and serves requests by backend servers. Adapters put it behind the protocols of a
+// deployment.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/arbutusthread/arbutusthread/back"
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/feed"
+	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/peer"
+	"github.com/arbutusthread/arbutusthread/table"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// Source reads what the platform publishes. It is safe for concurrent use.
+type Source interface {
+	// Load reads everything.
+	Load(ctx context.Context) (feed.Delta, error)
+	// Watch returns the changes after a revision as soon as there are any, and an empty delta when
+	// there are none within the wait. Its error is feed.ErrGone when the changes are no longer
+	// kept.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error)
+}
+
+// Config describes a node. The settings must have passed their check.
+type Config struct {
+	Settings *conf.Settings
+	Source   Source
+	Headers  wire.Headers
+	Log      *slog.Logger
+}
+
+// Node is one node of the fleet.
+type Node struct {
+	config  Config
+	log     *slog.Logger
+	peer    *peer.Node
+	backend *back.Client
+	table   atomic.Pointer[table.Table]
+
+	feedMu sync.Mutex
+	feed   *feed.State
+	reader *feed.Reader
+	expiry *time.Timer
+
+	mu       sync.Mutex
+	engine   *gather.Engine
+	splitter *table.Splitter
+	calls    map[gather.JobID]*call
+	attempts map[gather.AttemptID]context.CancelFunc
+
+	stopping atomic.Bool
+}
+
+// New opens the sockets between nodes. Run must be called to use the node.
+func New(c Config) (*Node, error) {
+	s := c.Settings
+	n := &Node{
+		config: c, log: c.Log,
+		backend: back.NewClient(back.Config{
+			MaxAnswer: s.Limits.AnswerBytes, Headers: c.Headers, Logger: c.Log,
+		}),
+		feed: feed.NewState(), splitter: table.NewSplitter(),
+		reader: feed.NewReader(time.Now(), isSeed(s)),
+		calls:  make(map[gather.JobID]*call), attempts: make(map[gather.AttemptID]context.CancelFunc),
+		engine: gather.New(gather.Config{
+			FailureDomain: s.FailureDomain, Seed: rand.Uint64(),
+			Budget: gather.BudgetConfig{
+				Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow.Std(),
+			},
+		}),
+	}
+	n.expiry = time.AfterFunc(time.Hour, n.expire)
+	p, err := peer.New(peer.Config{
+		Member: fleet.Member{
+			Address: s.PeerAddress, Caller: s.CallerAddress, FailureDomain: s.FailureDomain, Region: s.Region,
+		},
+		Keys: s.Keys(), Heartbeat: heartbeat, Event: n.event, Log: c.Log,
+		Handlers: peer.Handlers{Feed: n.feedSince, Revision: n.revision, Fed: n.fed},
+	})
+	if err != nil {
+		n.backend.Close()
+		return nil, err
+	}
+	n.peer = p
+	n.peer.SetSeeds(seedAddresses(s))
+	return n, nil
+}
+
+// heartbeat is the time between two heartbeats to a node. A dead node is known after four of them,
+// which is below the time for which callers keep an answer with its address.
+const heartbeat = 300 * time.Millisecond
+
+// isSeed reports whether others start by asking this node.
+func isSeed(s *conf.Settings) bool {
+	if len(s.Seeds) == 0 {
+		return true
+	}
+	for _, a := range s.Seeds {
+		if a.Addr() == s.PeerAddress.Addr() {
+			return true
+		}
+	}
+	return false
+}
+
+// seedAddresses returns the peer addresses of the seeds, which have the same port on all nodes.
+func seedAddresses(s *conf.Settings) []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, a := range s.Seeds {
+		seeds = append(seeds, netip.AddrPortFrom(a.Addr(), s.PeerAddress.Port()))
+	}
+	return seeds
+}
+
+// Run serves until ctx ends or a socket fails.
+func (n *Node) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.peer.Run(ctx) })
+	group.Go(func() error { n.read(ctx); return nil })
+	err := group.Wait()
+	n.backend.Close()
+	return err
+}
+
+// Leave announces a planned stop to the other nodes. The node goes on serving.
+func (n *Node) Leave() {
+	if n.stopping.CompareAndSwap(false, true) {
+		n.peer.Leave()
+	}
+}
+
+// Table returns the routes in force, or nil before the first configuration.
+func (n *Node) Table() *table.Table { return n.table.Load() }
+
+// Ready reports whether the node serves callers and should be given new ones.
+func (n *Node) Ready() bool { return n.table.Load() != nil && !n.stopping.Load() }
+
+// Members returns the known nodes.
+func (n *Node) Members() []fleet.Member { return n.peer.Members() }
+
+func (n *Node) event(e fleet.Event) {
+	switch e.Kind {
+	case fleet.MemberUp, fleet.MemberLeaving, fleet.MemberDown:
+		n.log.Info("member changed", "Event", e.Kind, "Peer", e.Member.Address, "FailureDomain", e.Member.FailureDomain)
+		n.countNodes()
+	}
+}
+
+// countNodes tells the engine how many nodes share the servers. Nodes that went down lately count,
+// since they may live behind a partition.
+func (n *Node) countNodes() {
+	count := len(n.peer.Members())
+	n.mu.Lock()
+	n.engine.SetNodes(count)
+	n.mu.Unlock()
+	n.install(time.Now())
+}
+
+var errNoFeed = errors.New("node: peer has no data")
--- /dev/null
+++ b/node/read.go
@@ -0,0 +1,82 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/feed"
+)
+
+// readGrace is how long an answer of the platform may take beyond the wait.
+const readGrace = 700 * time.Millisecond
+
+// read reads the platform whenever it is this node's turn.
+func (n *Node) read(ctx context.Context) {
+	for ctx.Err() == nil {
+		p := n.plan(time.Now())
+		if p.Step == feed.Idle {
+			sleep(ctx, p.Wait)
+			continue
+		}
+		n.readOnce(ctx, p)
+	}
+}
+
+func (n *Node) plan(now time.Time) feed.Plan {
+	in := feed.Input{Rank: n.peer.DomainRank(), Revision: n.revision()}
+	in.Age, in.Known = n.peer.FeedAge()
+	n.feedMu.Lock()
+	defer n.feedMu.Unlock()
+	return n.reader.Plan(now, in)
+}
+
+func (n *Node) readOnce(ctx context.Context, p feed.Plan) {
+	ctx, cancel := context.WithTimeout(ctx, p.Wait+readGrace)
+	defer cancel()
+	var d feed.Delta
+	var err error
+	if p.Step == feed.Load {
+		d, err = n.config.Source.Load(ctx)
+	} else {
+		d, err = n.config.Source.Watch(ctx, p.After, p.Wait)
+	}
+	now := time.Now()
+	if err != nil {
+		n.readFailed(now, err)
+		return
+	}
+	n.feedMu.Lock()
+	failures := n.reader.Failures()
+	n.reader.Succeed(now, &d)
+	n.feedMu.Unlock()
+	if failures > 0 {
+		n.log.Info("platform is back", "Failures", failures)
+	}
+	if err := n.apply(now, d, "platform"); err != nil {
+		n.log.Warn("data of the platform dropped", "Error", err)
+		return
+	}
+	n.peer.SetFeed(n.revision(), 0)
+}
+
+func (n *Node) readFailed(now time.Time, err error) {
+	n.feedMu.Lock()
+	n.reader.Fail(now, err, rand.Float64())
+	failures := n.reader.Failures()
+	n.feedMu.Unlock()
+	if failures == 1 || errors.Is(err, feed.ErrGone) {
+		n.log.Warn("platform read failed", "Error", err)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
@@ -77,6 +78,13 @@
 	return d, err
 }
 
+// Feed gets the changes after the revision of what the platform publishes.
+func (k *Client) Feed(ctx context.Context, to netip.AddrPort, after uint64) (feed.Delta, error) {
+	var d feed.Delta
+	err := k.do(ctx, to, http.MethodGet, pathFeed+"?after="+strconv.FormatUint(after, 10), nil, &d)
+	return d, err
+}
+
 // Table gets the peer's member table.
 func (k *Client) Table(ctx context.Context, to netip.AddrPort) (fleet.Table, error) {
 	var t fleet.Table
--- a/peer/config.go
+++ b/peer/config.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,8 @@
 	Keys [][]byte
 	// Codec is that of the datagrams which the node sends. It accepts all of them.
 	Codec fleet.Codec
+	// Heartbeat is the time between two heartbeats to a peer; 0 means that of the fleet.
+	Heartbeat time.Duration
 	// ServerTLS and ClientTLS turn TLS on for HTTP when they are set.
 	ServerTLS *tls.Config
 	ClientTLS *tls.Config
@@ -45,6 +48,11 @@
 	// Pulled decodes, checks and installs a document that was pulled from a peer; it should call
 	// Node.Install. When it fails for a change, the whole document is pulled.
 	Pulled func(Document) error
+	// Feed returns the changes after a revision of what the platform publishes, Revision that of
+	// this node's copy, and Fed takes over changes that were pulled from a peer.
+	Feed     func(after uint64) feed.Delta
+	Revision func() uint64
+	Fed      func(feed.Delta) error
 }
 
 // Document is a configuration document, or with From above 0 the change from that version to it.
--- a/peer/node.go
+++ b/peer/node.go
@@ -60,7 +60,7 @@
 		config: c, socket: socket, listener: listener,
 		pulls: make(chan struct{}, pullLimit), wake: make(chan struct{}, 1), clock: newClock(),
 	}
-	n.fleet = fleet.New(fleet.Config{Member: c.Member, Start: n.clock.base, Codec: c.Codec}, n.clock.base)
+	n.fleet = fleet.New(fleet.Config{Member: c.Member, Start: n.clock.base, Codec: c.Codec, Heartbeat: c.Heartbeat}, n.clock.base)
 	n.Client = newClient(c)
 	n.server = newServer(n)
 	return n, nil
@@ -250,6 +250,17 @@
 	n.do(func(now time.Time) []fleet.Output { return n.fleet.SetVMs(now, vms) })
 }
 
+// SetSeeds names addresses at which other nodes may be found.
+func (n *Node) SetSeeds(seeds []netip.AddrPort) {
+	n.do(func(now time.Time) []fleet.Output { return n.fleet.SetSeeds(now, seeds) })
+}
+
+// SetFeed tells the fleet the revision of this node's copy of what the platform publishes, and how
+// long ago the copy was known to be current.
+func (n *Node) SetFeed(revision uint64, age time.Duration) {
+	n.do(func(now time.Time) []fleet.Output { return n.fleet.SetFeed(now, revision, age) })
+}
+
 // Leave announces a planned stop.
 func (n *Node) Leave() { n.do(n.fleet.Leave) }
 
--- a/peer/pull.go
+++ b/peer/pull.go
@@ -17,6 +17,11 @@
 		if n.config.Handlers.Pulled == nil {
 			return
 		}
+	case fleet.FeedNewer:
+		if n.config.Handlers.Feed == nil {
+			return
+		}
+		pull = n.pullFeed
 	case fleet.TableWanted:
 		pull = n.pullTable
 	default:
@@ -68,3 +73,12 @@
 	n.do(func(now time.Time) []fleet.Output { return n.fleet.Merge(now, e.Peer, t) })
 	return nil
 }
+
+// pullFeed gets the changes of what the platform publishes that the peer has and this node has not.
+func (n *Node) pullFeed(ctx context.Context, e fleet.Event) error {
+	d, err := n.Feed(ctx, e.Peer, n.config.Handlers.Revision())
+	if err != nil {
+		return err
+	}
+	return n.config.Handlers.Fed(d)
+}
--- a/peer/query.go
+++ b/peer/query.go
@@ -56,11 +56,24 @@
 	return ask(n, func(_ time.Time, f *fleet.Node) bool { return f.IsReader() })
 }
 
+// DomainRank returns the place of this node among the live ones of its failure domain.
+func (n *Node) DomainRank() int {
+	return ask(n, func(_ time.Time, f *fleet.Node) int { return f.DomainRank() })
+}
+
 // Ready reports whether the node may serve.
 func (n *Node) Ready() bool {
 	return ask(n, func(_ time.Time, f *fleet.Node) bool { return f.Ready() })
 }
 
+// FeedAge returns how long ago this node's copy of what the platform publishes was known to be
+// current. It returns false when it never was.
+func (n *Node) FeedAge() (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fleet.FeedAge(n.read())
+}
+
 // Settled reports whether a fresh node may take a document from the platform; see
 // fleet.Node.Settled.
 func (n *Node) Settled() bool {
--- a/peer/server.go
+++ b/peer/server.go
@@ -24,6 +24,7 @@
 	pathExecute = "/peer/execute"
 	pathConfig  = "/peer/config"
 	pathMembers = "/peer/members"
+	pathFeed    = "/peer/feed"
 )
 
 // Time limits and sizes of the HTTP server.
@@ -41,6 +42,7 @@
 	mux.Handle("POST "+pathOrder, endpoint(n, h.Order, orderDeadline, false))
 	mux.Handle("POST "+pathExecute, endpoint(n, h.Execute, executeDeadline, false))
 	mux.Handle("GET "+pathConfig, n.guard(n.answerConfig))
+	mux.Handle("GET "+pathFeed, n.guard(n.answerFeed))
 	mux.Handle("GET "+pathMembers, n.guard(func(*http.Request, []byte) (any, error) {
 		return ask(n, func(_ time.Time, f *fleet.Node) fleet.Table { return f.Table() }), nil
 	}))
@@ -164,3 +166,15 @@
 	}
 	return n.config.Handlers.Document(from, r.URL.Query().Get("hash"))
 }
+
+// answerFeed returns the changes after the revision that the peer names.
+func (n *Node) answerFeed(r *http.Request, _ []byte) (any, error) {
+	if n.config.Handlers.Feed == nil {
+		return nil, wire.Refuse(wire.StepReady, "", wire.ReasonNotFound, "this node has no feed")
+	}
+	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	if err != nil {
+		return nil, wire.Refuse(wire.StepDecode, "", wire.ReasonBadRequest, "after: %v", err)
+	}
+	return n.config.Handlers.Feed(after), nil
+}
--- a/wire/backend.go
+++ b/wire/backend.go
@@ -63,6 +63,8 @@
 	BackendDeadline   BackendReason = "Deadline"
 	BackendCold       BackendReason = "Cold"
 	BackendBadRequest BackendReason = "BadRequest"
+	// BackendIncarnation means that another server process has the address.
+	BackendIncarnation BackendReason = "Incarnation"
 	// BackendCancelled answers a request that POST /cancel ended. NotRun tells whether it had
 	// begun to run.
 	BackendCancelled BackendReason = "Cancelled"
