Merge parts near the servers by relays, and name nodes near the servers

A relay in another domain gathers these parts, merges their records and sends one answer (about 1.6 KB for 7 parts of 1.25 KB each).

--- a/front/answer.go
+++ b/front/answer.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/arbutusthread/arbutusthread/back"
@@ -21,13 +22,14 @@
 		}
 		http.Error(w, out.Reason, status)
 	case len(q.Route.Shards) == 0:
-		status = out.Replies[0].Status
-		h.writeReply(w, r, out.Replies[0])
+		status = out.Parts[0].Reply.Status
+		h.writeReply(w, r, out.Parts[0].Reply)
 	default:
 		h.writeParts(w, r, q, out)
 	}
 	h.config.Log.Info("answered", "RequestId", q.Forward.RequestID, "Route", q.Route.Name, "Status", status,
-		"End", out.End, "Answered", out.Answered, "Total", out.Total, "Reason", out.Reason,
+		"End", out.End, "Answered", out.Answered, "Total", out.Total, "Sends", out.Sends, "Hedges", out.Hedges, "Retries", out.Retries, "Remote", out.Remote, "Relayed", out.Relayed,
+		"Reason", out.Reason,
 		"Duration", time.Since(started).Round(100*time.Microsecond))
 }
 
@@ -59,21 +61,15 @@
 // writeParts merges the parts of an answer.
 func (h *Handler) writeParts(w http.ResponseWriter, r *http.Request, q *node.Request, out *node.Outcome) {
 	names := &h.config.Headers
-	parts := make([][]byte, 0, len(out.Replies))
-	seals := make([]byte, 0, len(out.Replies)*40)
-	for _, reply := range out.Replies {
-		if reply == nil {
-			continue
-		}
-		parts = append(parts, reply.Body)
-		if len(seals) > 0 {
-			seals = append(seals, ',')
-		}
-		seals = append(seals, reply.Header.Get(names.Seal)...)
+	parts := make([][]byte, 0, len(out.Parts))
+	var seals []string
+	for _, p := range out.Parts {
+		parts = append(parts, p.Body)
+		seals = append(seals, p.Seals...)
 	}
 	header := w.Header()
-	header[names.PartSeals] = []string{string(seals)}
-	if missing := len(out.Replies) - len(parts); missing > 0 {
+	header[names.PartSeals] = []string{strings.Join(seals, ",")}
+	if missing := out.Total - len(seals); missing > 0 {
 		header[names.MissingParts] = []string{strconv.Itoa(missing)}
 	}
 	header["Content-Type"] = []string{"application/octet-stream"}
--- a/front/handler.go
+++ b/front/handler.go
@@ -99,7 +99,7 @@
 	// minTargetMargin and targetShare give the time before the end of the response-time objective at
 	// which an answer with the parts that are in is sent: for the ways to the caller and back, and a
 	// new connection.
-	minTargetMargin = 6 * time.Millisecond
+	minTargetMargin = 10 * time.Millisecond
 	targetShare     = 0.06
 )
 
--- a/gather/choose.go
+++ b/gather/choose.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
+	// declineScore is the score from which on a relay leaves a shard to the node that asked, which
+	// can reach servers in all failure domains.
+	declineScore = 5.0
 	// domainPenalty is what a server in another failure domain must be faster by: the round trip
 	// between domains, which a measured latency already has, and the cost of the bytes that cross.
-	domainPenalty = 2.0
+	domainPenalty = 2.5
 	// stallShare of the tail latency of a class is the time without an answer after which a server
 	// counts as stalled.
 	stallShare = 1.2
@@ -23,11 +26,11 @@
 	var best, spare *server
 	least, leastSpare := 0.0, 0.0
 	for _, s := range p.servers {
-		if s.Draining || t.used(s) || !s.hasRoom(now, e.nodes) {
+		if t.used(s) || !e.usable(now, s) || j.Relayed && s.FailureDomain != e.config.FailureDomain {
 			continue
 		}
 		v := e.score(now, j, s)
-		if now.Before(s.ejectedUntil) {
+		if s.ejected(now) {
 			if spare == nil || v < leastSpare {
 				spare, leastSpare = s, v
 			}
@@ -37,6 +40,9 @@
 			best, least = s, v
 		}
 	}
+	if j.Relayed && len(p.servers) > 1 && (best == nil || least > declineScore) {
+		return nil
+	}
 	if best == nil {
 		// An ejected server is better than none.
 		return spare
@@ -44,19 +50,24 @@
 	return best
 }
 
+// usable reports whether the server may get another request from this node.
+func (e *Engine) usable(now time.Time, s *server) bool { return !s.Draining && s.hasRoom(now, e.nodes) }
+
+// used reports whether the task may have been sent to the server. A relay chooses among the servers
+// of its failure domain.
 func (t *task) used(s *server) bool {
 	if t == nil {
 		return false
 	}
 	for _, a := range t.attempts {
-		if a.server == s {
+		if a.server == s || a.relay != nil && !a.clean && a.domain == s.FailureDomain {
 			return true
 		}
 	}
 	return false
 }
 
-// hasRoom reports whether the server may get another request from this node.
+// hasRoom reports whether a connection and, in a cold start, a part of the rate is left.
 func (s *server) hasRoom(now time.Time, nodes int) bool {
 	if s.Connections > 0 && len(s.open) >= s.Connections {
 		return false
@@ -73,7 +84,7 @@
 	if s.cold(now) {
 		v = max(v, coldSlowness)
 	}
-	if wait := time.Duration(stallShare * float64(j.class.tail(j.target()))); s.stalled(now, wait) {
+	if wait := time.Duration(stallShare * float64(j.class.tail())); s.stalled(now, wait) {
 		v = max(v, stallSlowness)
 	}
 	if queue := len(s.open) + 1 - s.Slots; queue > 0 && s.Slots > 0 {
--- a/gather/engine.go
+++ b/gather/engine.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 	"time"
 )
 
@@ -29,9 +30,14 @@
 	jobs    map[JobID]*job
 	// attempts maps the attempts that have not ended, also those of jobs that have.
 	attempts map[AttemptID]*attempt
-	nodes    int
-	lastJob  JobID
-	lastSent AttemptID
+	relays   map[netip.AddrPort]*relayNode
+	// relayDomains lists the relays by failure domain.
+	relayDomains map[string][]*relayNode
+	relayCalls   map[RelayID]*relayCall
+	nodes        int
+	lastJob      JobID
+	lastSent     AttemptID
+	lastRelay    RelayID
 }
 
 // New returns an engine without pools.
@@ -40,6 +46,7 @@
 		config: c, rand: rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15)),
 		pools: make(map[string]*pool), servers: make(map[string]*server), classes: make(map[string]*class),
 		jobs: make(map[JobID]*job), attempts: make(map[AttemptID]*attempt), nodes: 1,
+		relayCalls: make(map[RelayID]*relayCall),
 	}
 }
 
@@ -73,11 +80,17 @@
 
 // Actions is what the caller of the engine must carry out.
 type Actions struct {
-	Sends []Send
+	Sends  []Send
+	Relays []RelaySend
 	// Cancels are attempts whose caller has left: their work must end. Drops are attempts whose
 	// answer is no longer used: they may go on to a near end.
 	Cancels []AttemptID
 	Drops   []AttemptID
+	// RelayCancels and RelayDrops are the same for requests to relays.
+	RelayCancels []RelayID
+	RelayDrops   []RelayID
+	// Lost are the shards that can no longer be answered.
+	Lost []int
 	// Finished is set when the request has ended.
 	Finished *Finished
 	// Accepted tells, after Done, that the answer is the first for its shard.
@@ -118,6 +131,9 @@
 	End End
 	// Answered and Total count shards.
 	Answered, Total int
+	// Sends counts attempts, of which Hedges and Retries are beyond the first of their shard, Remote
+	// went to servers in other failure domains, and Relayed through relays.
+	Sends, Hedges, Retries, Remote, Relayed int
 	// Sent means that a server may have run the request or a part of it.
 	Sent bool
 	// RetryAfter is when room is expected; it is set when the request was refused.
--- a/gather/finish.go
+++ b/gather/finish.go
@@ -6,12 +6,12 @@
 // still be expected to be answered before the target, so that few requests need one, but not before
 // the typical latency has passed.
 func (e *Engine) hedgeTime(now time.Time, j *job) time.Time {
-	if !j.Idempotent {
+	if !j.Idempotent || j.MaxAttempts < 2 {
 		return time.Time{}
 	}
-	tail := j.class.tail(j.target())
+	tail := j.class.tail()
 	latest := j.Target.Add(-tail * hedgeTails)
-	earliest := now.Add(j.class.typical(j.target()) + tail/2)
+	earliest := now.Add(j.class.typical() + tail/2)
 	if j.Target.IsZero() || latest.Before(earliest) {
 		return earliest
 	}
@@ -33,7 +33,7 @@
 			continue
 		}
 		s := e.choose(now, j, t.pool, t)
-		if s == nil || now.Before(s.ejectedUntil) || !t.pool.budget.spend(&e.config.Budget, now, e.nodes) {
+		if s == nil || s.ejected(now) || !t.pool.budget.spend(&e.config.Budget, now, e.nodes) {
 			continue
 		}
 		e.send(now, j, t, s, Hedge, act)
@@ -56,16 +56,29 @@
 }
 
 func (e *Engine) finish(j *job, end End, act *Actions) {
+	f := &Finished{Job: j.id, End: end, Answered: j.answered, Total: len(j.tasks), Reason: j.reason}
 	for i := range j.tasks {
 		for _, a := range j.tasks[i].attempts {
 			j.sent = j.sent || !a.ended
+			f.Sends++
+			switch a.purpose {
+			case Hedge:
+				f.Hedges++
+			case Retry:
+				f.Retries++
+			}
+			switch {
+			case a.relay != nil:
+				f.Relayed++
+			case a.domain != e.config.FailureDomain:
+				f.Remote++
+			}
 		}
 	}
-	act.Finished = &Finished{
-		Job: j.id, End: end, Answered: j.answered, Total: len(j.tasks), Sent: j.sent, Reason: j.reason,
-	}
+	f.Sent = j.sent
+	act.Finished = f
 	if !j.sent && end != Complete && end != Partial {
-		act.Finished.RetryAfter = retryAfter
+		f.RetryAfter = retryAfter
 	}
-	e.end(j, &act.Drops)
+	e.end(j, act, false)
 }
--- a/gather/job.go
+++ b/gather/job.go
@@ -14,6 +14,11 @@
 	Pools []string
 	// Idempotent allows hedges, and retries after failures that may have run.
 	Idempotent bool
+	// Relayable allows to send shards through relays.
+	Relayable bool
+	// Relayed means that this node is the relay: the shards count as requests at the node that asked,
+	// and only servers in the failure domain of this node are used.
+	Relayed bool
 	// MinCoverage is the least share of shards that an answer must cover.
 	MinCoverage float64
 	// MaxAttempts is the number of servers to which each shard may be sent.
@@ -53,34 +58,46 @@
 
 // attempt is one sending of a task to a server.
 type attempt struct {
-	id       AttemptID
-	job      *job
-	task     *task
-	server   *server
+	id   AttemptID
+	job  *job
+	task *task
+	// server is nil when the attempt goes through a relay.
+	server *server
+	relay  *relayCall
+	// domain is the failure domain of the server.
+	domain   string
 	purpose  Purpose
 	sentAt   time.Time
 	ended    bool
 	canceled bool
+	// clean means that the attempt has ended and has reached no server.
+	clean bool
 }
 
 // Submit adds a request. It may be refused at once, in which case Finished is set.
 func (e *Engine) Submit(now time.Time, r Request) (JobID, Actions) {
 	e.lastJob++
-	j := &job{Request: r, id: e.lastJob, started: now, tasks: make([]task, len(r.Pools)), class: e.class(r.Class)}
+	j := &job{Request: r, id: e.lastJob, started: now, tasks: make([]task, len(r.Pools)), class: e.classOf(now, &r)}
 	var act Actions
 	if reason := e.unservable(now, j); reason != "" {
 		act.Finished = &Finished{Job: j.id, End: Refused, Total: len(j.tasks), RetryAfter: retryAfter, Reason: reason}
 		return j.id, act
 	}
 	e.jobs[j.id] = j
+	tasks := make([]*task, 0, len(j.tasks))
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		t.index, t.pool = i, e.pools[r.Pools[i]]
 		if t.pool == nil {
-			j.lose(t, "no server of "+r.Pools[i]+" is listed")
+			j.lose(t, "no server of "+r.Pools[i]+" is listed", &act)
 			continue
 		}
-		t.pool.budget.request(&e.config.Budget, now)
+		if !j.Relayed {
+			t.pool.budget.request(&e.config.Budget, now)
+		}
+		tasks = append(tasks, t)
+	}
+	for _, t := range e.sendRelayed(now, j, tasks, &act) {
 		e.sendPrimary(now, j, t, &act)
 	}
 	e.conclude(now, j, &act)
@@ -91,11 +108,14 @@
 // is the time in which a server that was ejected is tried again.
 const retryAfter = firstEjection
 
-func (e *Engine) class(name string) *class {
-	c := e.classes[name]
+func (e *Engine) classOf(now time.Time, r *Request) *class {
+	c := e.classes[r.Class]
 	if c == nil {
-		c = &class{latencies: route.NewDistribution()}
-		e.classes[name] = c
+		c = &class{latencies: route.NewDistribution(), target: defaultTarget}
+		e.classes[r.Class] = c
+	}
+	if !r.Target.IsZero() {
+		c.target = r.Target.Sub(now)
 	}
 	return c
 }
@@ -124,26 +144,20 @@
 // coverageSlack makes up for the rounding of shares such as 0.89 of 100.
 const coverageSlack = 1e-9
 
-func (j *job) lose(t *task, reason string) {
+func (j *job) lose(t *task, reason string, act *Actions) {
 	if t.lost {
 		return
 	}
 	t.lost = true
 	j.lost++
 	j.reason = reason
-}
-
-func (j *job) target() time.Duration {
-	if j.Target.IsZero() {
-		return j.Deadline.Sub(j.started)
-	}
-	return j.Target.Sub(j.started)
+	act.Lost = append(act.Lost, t.index)
 }
 
 func (e *Engine) sendPrimary(now time.Time, j *job, t *task, act *Actions) {
 	s := e.choose(now, j, t.pool, nil)
 	if s == nil {
-		j.lose(t, "no server of "+t.pool.name+" can take it")
+		j.lose(t, "no server of "+t.pool.name+" can take it", act)
 		return
 	}
 	e.send(now, j, t, s, Primary, act)
@@ -152,7 +166,7 @@
 
 func (e *Engine) send(now time.Time, j *job, t *task, s *server, p Purpose, act *Actions) {
 	e.lastSent++
-	a := &attempt{id: e.lastSent, job: j, task: t, server: s, purpose: p, sentAt: now}
+	a := &attempt{id: e.lastSent, job: j, task: t, server: s, domain: s.FailureDomain, purpose: p, sentAt: now}
 	e.attempts[a.id] = a
 	t.attempts = append(t.attempts, a)
 	t.servers++
@@ -172,6 +186,7 @@
 		return act
 	}
 	a.ended = true
+	a.clean = r.Class == Unsent || r.Class == Busy
 	delete(e.attempts, id)
 	a.server.drop(a)
 	e.learn(now, a, r, &act)
@@ -180,7 +195,7 @@
 		j.sent = true
 	} else {
 		t.servers--
-		if a.purpose != Primary && r.Class != NotRun && r.Class != OtherServer {
+		if a.purpose != Primary && a.clean {
 			t.pool.budget.refund()
 		}
 	}
@@ -192,7 +207,7 @@
 		t.answered = true
 		j.answered++
 		act.Accepted = true
-		t.drop(&act.Drops)
+		e.drop(t, &act, false)
 	default:
 		e.afterFailure(now, j, t, r, &act)
 	}
@@ -228,7 +243,7 @@
 	if r.ColdFor > 0 {
 		s.ColdUntil = now.Add(r.ColdFor)
 	}
-	typical := float64(c.typical(a.job.target()))
+	typical := float64(c.typical())
 	switch r.Class {
 	case OK, Answered:
 		c.latencies.Add(r.Latency)
@@ -270,7 +285,7 @@
 // afterFailure retries a task whose attempt has failed, or gives it up.
 func (e *Engine) afterFailure(now time.Time, j *job, t *task, r Result, act *Actions) {
 	if r.Class.mayHaveRun() && !j.Idempotent {
-		j.lose(t, string(r.Class)+": "+r.Detail)
+		j.lose(t, string(r.Class)+": "+r.Detail, act)
 		return
 	}
 	if t.inFlight() > 0 {
@@ -278,13 +293,24 @@
 	}
 	if e.mayRetry(now, j, t) {
 		s := e.choose(now, j, t.pool, t)
-		if s != nil && t.pool.budget.spend(&e.config.Budget, now, e.nodes) {
+		if s != nil && (t.isUnsent() || t.pool.budget.spend(&e.config.Budget, now, e.nodes)) {
 			e.send(now, j, t, s, Retry, act)
 			t.hedgeAt = e.hedgeTime(now, j)
 			return
 		}
 	}
-	j.lose(t, string(r.Class)+": "+r.Detail)
+	j.lose(t, string(r.Class)+": "+r.Detail, act)
+}
+
+// isUnsent reports whether no attempt of the task has reached a server, so that the next one is its
+// first arrival.
+func (t *task) isUnsent() bool {
+	for _, a := range t.attempts {
+		if !a.clean {
+			return false
+		}
+	}
+	return true
 }
 
 func (e *Engine) mayRetry(now time.Time, j *job, t *task) bool {
@@ -294,12 +320,23 @@
 // maxTries bounds the sends of a task, with those that reached no server.
 const maxTries = 6
 
-// drop marks the attempts of a task that are in flight as unwanted and adds them to a list.
-func (t *task) drop(list *[]AttemptID) {
+// drop marks the attempts of a task that are in flight as unwanted, and ends them at once when the
+// caller has left.
+func (e *Engine) drop(t *task, act *Actions, left bool) {
 	for _, a := range t.attempts {
-		if !a.ended && !a.canceled {
-			a.canceled = true
-			*list = append(*list, a.id)
+		if a.ended || a.canceled {
+			continue
+		}
+		a.canceled = true
+		switch {
+		case a.relay != nil && left:
+			act.RelayCancels = append(act.RelayCancels, a.relay.id)
+		case a.relay != nil && a.relay.isUnwanted():
+			act.RelayDrops = append(act.RelayDrops, a.relay.id)
+		case a.relay == nil && left:
+			act.Cancels = append(act.Cancels, a.id)
+		case a.relay == nil:
+			act.Drops = append(act.Drops, a.id)
 		}
 	}
 }
@@ -308,16 +345,16 @@
 func (e *Engine) Abandon(id JobID) Actions {
 	var act Actions
 	if j := e.jobs[id]; j != nil {
-		e.end(j, &act.Cancels)
+		e.end(j, &act, true)
 	}
 	return act
 }
 
-// end forgets a job and lists its attempts in flight.
-func (e *Engine) end(j *job, list *[]AttemptID) {
+// end forgets a job and its attempts in flight.
+func (e *Engine) end(j *job, act *Actions, left bool) {
 	delete(e.jobs, j.id)
 	for i := range j.tasks {
-		j.tasks[i].drop(list)
+		e.drop(&j.tasks[i], act, left)
 	}
 }
 
--- a/gather/server.go
+++ b/gather/server.go
@@ -1,7 +1,6 @@
 package gather
 
 import (
-	"math"
 	"net/netip"
 	"time"
 
@@ -41,35 +40,11 @@
 // server is what the engine knows of a backend server.
 type server struct {
 	Server
+	health
 	pool *pool
-	// open are the attempts that have not ended, oldest first.
-	open []*attempt
-	// slowness is the moving average of latencies divided by the typical latency of their class.
-	slowness   float64
-	slownessAt time.Time
-	// answeredAt is the time of the last answer.
-	answeredAt time.Time
-	// failures counts the failures in a row.
-	failures     int
-	ejections    int
-	ejectedUntil time.Time
-	sent         coldMeter
-	removed      bool
+	sent coldMeter
 }
 
-const (
-	// slownessWeight is the weight of a new sample in the moving average of the slowness.
-	slownessWeight = 0.3
-	// slownessHalfLife is the time in which an old measurement of slowness loses half of its
-	// effect, so that a server that was slow is tried again.
-	slownessHalfLife = 2 * time.Second
-	// failuresToEject is the number of failures in a row that ejects a server.
-	failuresToEject = 3
-	// firstEjection is the first time for which a server is ejected. It doubles up to lastEjection.
-	firstEjection = 250 * time.Millisecond
-	lastEjection  = 4 * time.Second
-)
-
 // SetPools makes the engine use exactly these pools and servers. Requests in flight go on.
 func (e *Engine) SetPools(pools []Pool) {
 	servers := make(map[string]*server, len(e.servers))
@@ -83,7 +58,7 @@
 		for _, v := range c.Servers {
 			s := e.servers[v.ID]
 			if s == nil || s.Address != v.Address {
-				s = &server{slowness: 1}
+				s = &server{}
 			}
 			s.update(v, p)
 			servers[v.ID] = s
@@ -91,11 +66,6 @@
 		}
 		next[c.Name] = p
 	}
-	for id, s := range e.servers {
-		if servers[id] != s {
-			s.removed = true
-		}
-	}
 	e.pools, e.servers = next, servers
 }
 
@@ -104,64 +74,7 @@
 		// What the server said of itself is newer than what the platform lists.
 		v.ColdUntil = s.Server.ColdUntil
 	}
-	s.Server, s.pool, s.removed = v, p, false
-}
-
-// observe includes a latency relative to the typical one of its class.
-func (s *server) observe(now time.Time, ratio float64) {
-	s.slowness = s.slownessNow(now) + slownessWeight*(ratio-s.slownessNow(now))
-	s.slownessAt = now
-}
-
-// slownessNow returns the slowness, which approaches 1 while the server is not measured.
-func (s *server) slownessNow(now time.Time) float64 {
-	if s.slownessAt.IsZero() {
-		return 1
-	}
-	age := now.Sub(s.slownessAt)
-	return 1 + (s.slowness-1)*math.Exp2(-float64(age)/float64(slownessHalfLife))
-}
-
-// succeed records an answer.
-func (s *server) succeed(now time.Time) {
-	s.answeredAt = now
-	s.failures, s.ejections, s.ejectedUntil = 0, 0, time.Time{}
-}
-
-// fail records a failure and reports whether it ejects the server.
-func (s *server) fail(now time.Time, severe bool) bool {
-	if now.Before(s.ejectedUntil) {
-		return false
-	}
-	s.failures++
-	if !severe && s.failures < failuresToEject && s.ejections == 0 {
-		return false
-	}
-	s.ejectedUntil = now.Add(min(lastEjection, firstEjection<<min(s.ejections, 10)))
-	s.ejections++
-	s.failures = 0
-	return true
-}
-
-// stalled reports whether an attempt has been open for longer than wait and nothing has been
-// answered since it was sent. The server pauses, or is gone without a word.
-func (s *server) stalled(now time.Time, wait time.Duration) bool {
-	for _, a := range s.open {
-		if a.canceled {
-			continue
-		}
-		return now.Sub(a.sentAt) > wait && s.answeredAt.Before(a.sentAt)
-	}
-	return false
-}
-
-func (s *server) drop(a *attempt) {
-	for i, x := range s.open {
-		if x == a {
-			s.open = append(s.open[:i], s.open[i+1:]...)
-			return
-		}
-	}
+	s.Server, s.pool = v, p
 }
 
 // cold reports whether the server is in a cold start.
@@ -187,9 +100,13 @@
 // class is what the engine knows of the requests of one route.
 type class struct {
 	latencies *route.Distribution
+	// target is the response-time objective.
+	target time.Duration
 }
 
 const (
+	// defaultTarget is used for a class whose requests have named no objective.
+	defaultTarget = 100 * time.Millisecond
 	// defaultTypical and defaultTail are the latencies of a class until enough are measured, as
 	// shares of its target latency.
 	defaultTypical = 0.2
@@ -200,17 +117,13 @@
 	tailQuantile    = 0.95
 )
 
-func (c *class) quantile(q float64, target time.Duration, share float64) time.Duration {
-	if v, ok := c.latencies.Quantile(q); ok {
-		return v
+func (c *class) quantile(q, share float64) time.Duration {
+	v, ok := c.latencies.Quantile(q)
+	if !ok {
+		v = time.Duration(share * float64(c.target))
 	}
-	return time.Duration(share * float64(target))
+	return max(v, time.Millisecond)
 }
 
-func (c *class) typical(target time.Duration) time.Duration {
-	return max(time.Millisecond, c.quantile(typicalQuantile, target, defaultTypical))
-}
-
-func (c *class) tail(target time.Duration) time.Duration {
-	return max(time.Millisecond, c.quantile(tailQuantile, target, defaultTail))
-}
+func (c *class) typical() time.Duration { return c.quantile(typicalQuantile, defaultTypical) }
+func (c *class) tail() time.Duration    { return c.quantile(tailQuantile, defaultTail) }
--- a/node/install.go
+++ b/node/install.go
@@ -6,6 +6,7 @@
 	"github.com/arbutusthread/arbutusthread/back"
 	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/place"
 	"github.com/arbutusthread/arbutusthread/table"
 )
 
@@ -70,6 +71,7 @@
 	n.backend.SetServers(servers)
 	n.engine.SetPools(pools)
 	n.splitter.Keep(t)
+	n.servers.Store(domainsOf(pools))
 	n.table.Store(t)
 }
 
@@ -128,3 +130,18 @@
 	b := n.config.Settings.Bounds
 	return s.ColdRate*b.ColdOvershoot + b.ColdSlack
 }
+
+// domainsOf returns the failure domains in which services have servers that take new work.
+func domainsOf(pools []gather.Pool) *place.Servers {
+	servers := make(place.Servers, len(pools))
+	for _, p := range pools {
+		domains := make(map[string]bool)
+		for _, s := range p.Servers {
+			if !s.Draining {
+				domains[s.FailureDomain] = true
+			}
+		}
+		servers[p.Name] = domains
+	}
+	return &servers
+}
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/gather"
 	"github.com/arbutusthread/arbutusthread/peer"
+	"github.com/arbutusthread/arbutusthread/place"
 	"github.com/arbutusthread/arbutusthread/table"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
@@ -50,6 +51,8 @@
 	peer    *peer.Node
 	backend *back.Client
 	table   atomic.Pointer[table.Table]
+	// servers are the failure domains in which services have servers.
+	servers atomic.Pointer[place.Servers]
 
 	feedMu sync.Mutex
 	feed   *feed.State
@@ -61,6 +64,7 @@
 	splitter *table.Splitter
 	calls    map[gather.JobID]*call
 	attempts map[gather.AttemptID]context.CancelFunc
+	relays   map[gather.RelayID]context.CancelFunc
 
 	stopping atomic.Bool
 }
@@ -76,6 +80,7 @@
 		feed: feed.NewState(), splitter: table.NewSplitter(),
 		reader: feed.NewReader(time.Now(), isSeed(s)),
 		calls:  make(map[gather.JobID]*call), attempts: make(map[gather.AttemptID]context.CancelFunc),
+		relays: make(map[gather.RelayID]context.CancelFunc),
 		engine: gather.New(gather.Config{
 			FailureDomain: s.FailureDomain, Seed: rand.Uint64(),
 			Budget: gather.BudgetConfig{
@@ -89,7 +94,7 @@
 			Address: s.PeerAddress, Caller: s.CallerAddress, FailureDomain: s.FailureDomain, Region: s.Region,
 		},
 		Keys: s.Keys(), Heartbeat: heartbeat, Event: n.event, Log: c.Log,
-		Handlers: peer.Handlers{Feed: n.feedSince, Revision: n.revision, Fed: n.fed},
+		Handlers: peer.Handlers{Feed: n.feedSince, Revision: n.revision, Fed: n.fed, Gather: n.gather},
 	})
 	if err != nil {
 		n.backend.Close()
@@ -163,9 +168,10 @@
 // countNodes tells the engine how many nodes share the servers. Nodes that went down lately count,
 // since they may live behind a partition.
 func (n *Node) countNodes() {
-	count := len(n.peer.Members())
+	members := n.peer.Members()
 	n.mu.Lock()
-	n.engine.SetNodes(count)
+	n.engine.SetNodes(len(members))
+	n.engine.SetRelays(n.relaysOf(members))
 	n.mu.Unlock()
 	n.install(time.Now())
 }
--- /dev/null
+++ b/node/relay.go
@@ -0,0 +1,227 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/back"
+	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+var errNothingSent = errors.New("node: no shard could be sent to a server")
+
+// startRelay sends shards to a relay. The caller holds n.mu.
+func (n *Node) startRelay(now time.Time, c *call, s gather.RelaySend) {
+	ctx, cancel := context.WithDeadline(context.Background(), s.Deadline)
+	n.relays[s.Relay] = cancel
+	q := &wire.GatherQuery{
+		RequestID: c.forward.RequestID, Class: c.job.Class, TopK: c.topK,
+		ReplyIn: milliseconds(s.ReplyAt.Sub(now)), Timeout: milliseconds(s.Deadline.Sub(now)),
+		Method: c.forward.Method, URI: c.forward.URI, Host: c.forward.Host, Header: c.forward.Header, Body: c.forward.Body,
+	}
+	for _, i := range s.Tasks {
+		q.Pools = append(q.Pools, c.job.Pools[i])
+	}
+	go func() {
+		defer cancel()
+		err := n.peer.Gather(ctx, s.Address, q, func(p wire.GatherPart) { n.relayed(c, s, p) })
+		n.relayEnded(ctx, c, s, err)
+	}()
+}
+
+// relayed includes a part from a relay.
+func (n *Node) relayed(c *call, s gather.RelaySend, p wire.GatherPart) {
+	part := &Part{Body: p.Records, Seals: p.Seals}
+	answered, ok := tasksOf(s, p.Answered)
+	failed, okFailed := tasksOf(s, p.Failed)
+	declined, okDeclined := tasksOf(s, p.Declined)
+	if !ok || !okFailed || !okDeclined || len(p.Seals) != len(p.Answered) || len(p.Latencies) != len(p.Answered) {
+		n.log.Warn("part of a relay dropped", "RequestId", c.forward.RequestID, "Peer", s.Address)
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	act := n.engine.RelayDone(now, s.Relay, gather.RelayPart{
+		Answered: answered, Latencies: durations(p.Latencies), Failed: failed, Declined: declined,
+	})
+	if n.calls[c.id] != c {
+		n.report(c, act)
+		return
+	}
+	if act.Accepted {
+		for _, i := range answered {
+			c.parts[i] = part
+		}
+	}
+	n.perform(now, c, act)
+}
+
+func durations(ms []byte) []time.Duration {
+	list := make([]time.Duration, 0, len(ms))
+	for _, v := range ms {
+		list = append(list, max(1, time.Duration(v))*time.Millisecond)
+	}
+	return list
+}
+
+// tasksOf translates the indexes of a part into those of the request.
+func tasksOf(s gather.RelaySend, indexes []int) ([]int, bool) {
+	tasks := make([]int, 0, len(indexes))
+	for _, i := range indexes {
+		if i < 0 || i >= len(s.Tasks) {
+			return nil, false
+		}
+		tasks = append(tasks, s.Tasks[i])
+	}
+	return tasks, true
+}
+
+func (n *Node) relayEnded(ctx context.Context, c *call, s gather.RelaySend, err error) {
+	r := gather.Result{Class: gather.Broken}
+	if err != nil {
+		f := wire.AsFailure(err)
+		r.Detail = f.Error()
+		switch {
+		case errors.Is(ctx.Err(), context.Canceled):
+			r.Class = gather.Canceled
+		case f.Reason == wire.ReasonDeadline:
+			r.Class = gather.TimedOut
+		case f.NotRun:
+			r.Class = gather.Unsent
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	delete(n.relays, s.Relay)
+	act := n.engine.RelayEnd(now, s.Relay, r)
+	if n.calls[c.id] != c {
+		n.report(c, act)
+		return
+	}
+	n.perform(now, c, act)
+}
+
+// gather serves a query of another node as its relay: it sends what it has when the asking node
+// wants a reply, and later answers one by one.
+func (n *Node) gather(ctx context.Context, q *wire.GatherQuery, send func(wire.GatherPart) error) error {
+	now := time.Now()
+	c := &call{
+		topK: q.TopK,
+		forward: back.Forward{
+			Method: q.Method, URI: q.URI, Host: q.Host, Header: q.Header, Body: q.Body, RequestID: q.RequestID,
+		},
+		job: gather.Request{
+			Class: q.Class, Pools: q.Pools, Idempotent: true, Relayed: true, MaxAttempts: 1,
+			Deadline: now.Add(time.Duration(q.Timeout) * time.Millisecond),
+		},
+	}
+	stream := &relayStream{call: c, sent: make([]bool, len(q.Pools)), ready: make(chan struct{}, 1)}
+	c.progress = stream.note
+	ended := make(chan error, 1)
+	go func() {
+		f, err := n.run(ctx, c)
+		if err == nil && f.End == gather.Refused {
+			err = errNothingSent
+		}
+		ended <- err
+	}()
+	reply := time.NewTimer(time.Duration(q.ReplyIn) * time.Millisecond)
+	defer reply.Stop()
+	due := false
+	for {
+		select {
+		case err := <-ended:
+			if err != nil {
+				return err
+			}
+			return n.flush(stream, send)
+		case <-reply.C:
+			due = true
+		case <-stream.ready:
+		}
+		if due || stream.urgent.Swap(false) {
+			if err := n.flush(stream, send); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// relayStream is what a relay has and has not yet sent.
+type relayStream struct {
+	call *call
+	// sent tells which shards have been reported.
+	sent  []bool
+	lost  []int
+	ready chan struct{}
+	// urgent asks for a report before it is due, so that the asking node can send lost shards
+	// elsewhere.
+	urgent atomic.Bool
+}
+
+// note records progress. The caller holds the node's lock.
+func (s *relayStream) note(lost []int) {
+	s.lost = append(s.lost, lost...)
+	if len(lost) > 0 {
+		s.urgent.Store(true)
+	}
+	select {
+	case s.ready <- struct{}{}:
+	default:
+	}
+}
+
+// flush sends what has come in since the last time.
+func (n *Node) flush(s *relayStream, send func(wire.GatherPart) error) error {
+	var p wire.GatherPart
+	var bodies [][]byte
+	n.mu.Lock()
+	for i, part := range s.call.parts {
+		if part != nil && !s.sent[i] {
+			s.sent[i] = true
+			p.Answered = append(p.Answered, i)
+			p.Seals = append(p.Seals, part.Seals...)
+			p.Latencies = append(p.Latencies, byte(min(part.Latency.Milliseconds(), 255)))
+			bodies = append(bodies, part.Body)
+		}
+	}
+	for _, i := range s.lost {
+		if s.call.sent[i] {
+			p.Failed = append(p.Failed, i)
+		} else {
+			p.Declined = append(p.Declined, i)
+		}
+	}
+	s.lost = nil
+	n.mu.Unlock()
+	if len(p.Answered)+len(p.Failed)+len(p.Declined) == 0 {
+		return nil
+	}
+	p.Records = gather.TopK(bodies, s.call.topK)
+	return send(p)
+}
+
+// relaysOf returns the nodes that may relay for this one: those of its region in other failure
+// domains.
+func (n *Node) relaysOf(members []fleet.Member) []gather.Relay {
+	s := n.config.Settings
+	var relays []gather.Relay
+	for _, m := range members {
+		if m.State == fleet.StateAlive && m.Region == s.Region && m.FailureDomain != s.FailureDomain {
+			relays = append(relays, gather.Relay{Address: m.Address, FailureDomain: m.FailureDomain})
+		}
+	}
+	return relays
+}
+
+// milliseconds returns a duration for the wire, at least 1.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 1), int64(^uint32(0)>>1)))
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -27,49 +27,95 @@
 // Outcome is the end of a request.
 type Outcome struct {
 	gather.Finished
-	// Replies has the accepted answer of each shard, nil where there is none.
-	Replies []*back.Reply
+	// Parts are the accepted answers.
+	Parts []*Part
+}
+
+// Part is the answer of one server, or the merged answers of several that a relay has sent.
+type Part struct {
+	// Reply is the server's answer, nil when a relay has sent the part.
+	Reply *back.Reply
+	// Body holds records, and Seals the seals of the servers' answers.
+	Body  []byte
+	Seals []string
+	// Latency is the time that the server took; it is not set for a part from a relay.
+	Latency time.Duration
 }
 
 // call is a request in progress.
 type call struct {
-	request *Request
+	job     gather.Request
+	forward back.Forward
+	topK    int
 	id      gather.JobID
-	replies []*back.Reply
-	done    chan gather.Finished
-	timer   *time.Timer
-	wake    time.Time
+	// parts has the accepted part of each shard.
+	parts []*Part
+	// sent tells which shards may have reached a server.
+	sent []bool
+	done chan gather.Finished
+	// progress is called under the node's lock when shards have been answered or lost.
+	progress func(lost []int)
+	timer    *time.Timer
+	wake     time.Time
 }
 
 // Serve serves a request. When ctx ends first the request is abandoned.
 func (n *Node) Serve(ctx context.Context, r *Request) (Outcome, error) {
-	c := &call{request: r, done: make(chan gather.Finished, 1)}
-	r.Forward.Once = !r.Route.Idempotent
-	n.mu.Lock()
 	pools := r.Route.Shards
 	if len(pools) == 0 {
+		n.mu.Lock()
 		pools = []string{n.splitter.Next(r.Route)}
-	}
-	c.replies = make([]*back.Reply, len(pools))
+		n.mu.Unlock()
+	}
+	c := &call{
+		forward: r.Forward, topK: r.Route.TopK,
+		job: gather.Request{
+			Class: r.Route.Name, Pools: pools, Idempotent: r.Route.Idempotent, MinCoverage: minCoverage(r.Route),
+			MaxAttempts: r.Route.Attempts(), Deadline: r.Deadline, Target: r.Target,
+			Relayable: len(r.Route.Shards) > 0 && len(r.Route.Homes) == 0,
+		},
+	}
+	c.forward.Once = !r.Route.Idempotent
+	f, err := n.run(ctx, c)
+	return Outcome{Finished: f, Parts: unique(c.parts)}, err
+}
+
+// run serves a call to its end. When ctx ends first the call is abandoned.
+func (n *Node) run(ctx context.Context, c *call) (gather.Finished, error) {
+	c.parts = make([]*Part, len(c.job.Pools))
+	c.sent = make([]bool, len(c.job.Pools))
+	c.done = make(chan gather.Finished, 1)
+	n.mu.Lock()
 	now := time.Now()
-	id, act := n.engine.Submit(now, gather.Request{
-		Class: r.Route.Name, Pools: pools, Idempotent: r.Route.Idempotent, MinCoverage: minCoverage(r.Route),
-		MaxAttempts: r.Route.Attempts(), Deadline: r.Deadline, Target: r.Target,
-	})
+	id, act := n.engine.Submit(now, c.job)
 	c.id = id
 	n.calls[id] = c
 	n.perform(now, c, act)
 	n.mu.Unlock()
 	select {
 	case f := <-c.done:
-		return Outcome{Finished: f, Replies: c.replies}, nil
+		return f, nil
 	case <-ctx.Done():
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.perform(time.Now(), c, n.engine.Abandon(id))
 		n.forget(c)
-		return Outcome{}, context.Cause(ctx)
+		return gather.Finished{}, context.Cause(ctx)
+	}
+}
+
+// unique returns the parts without repetitions: a part that a relay has sent stands for several
+// shards.
+func unique(parts []*Part) []*Part {
+	seen := make(map[*Part]bool, len(parts))
+	var list []*Part
+	for _, p := range parts {
+		if p != nil && !seen[p] {
+			seen[p] = true
+			list = append(list, p)
+		}
 	}
+	return list
 }
 
 // minCoverage returns the share of shards that an answer must cover. A request to one server needs
@@ -86,17 +132,17 @@
 	for _, s := range act.Sends {
 		n.start(c, s)
 	}
-	for _, a := range act.Cancels {
-		if cancel := n.attempts[a]; cancel != nil {
-			cancel()
-		}
-	}
-	for _, a := range act.Drops {
-		if cancel := n.attempts[a]; cancel != nil {
-			time.AfterFunc(dropTime, cancel)
-		}
+	for _, s := range act.Relays {
+		n.startRelay(now, c, s)
 	}
+	cancelAll(n.attempts, act.Cancels, 0)
+	cancelAll(n.attempts, act.Drops, dropTime)
+	cancelAll(n.relays, act.RelayCancels, 0)
+	cancelAll(n.relays, act.RelayDrops, dropTime)
 	n.report(c, act)
+	if c.progress != nil && (act.Accepted || len(act.Lost) > 0) {
+		c.progress(act.Lost)
+	}
 	if act.Finished != nil {
 		n.forget(c)
 		c.done <- *act.Finished
@@ -105,6 +151,20 @@
 	n.schedule(now, c)
 }
 
+// cancelAll ends attempts after a delay.
+func cancelAll[K comparable](running map[K]context.CancelFunc, ids []K, delay time.Duration) {
+	for _, id := range ids {
+		cancel := running[id]
+		switch {
+		case cancel == nil:
+		case delay == 0:
+			cancel()
+		default:
+			time.AfterFunc(delay, cancel)
+		}
+	}
+}
+
 // forget ends the timer of a call. The caller holds n.mu.
 func (n *Node) forget(c *call) {
 	delete(n.calls, c.id)
@@ -138,79 +198,8 @@
 	n.perform(now, c, n.engine.Tick(now, c.id))
 }
 
-// start sends an attempt. The caller holds n.mu.
-func (n *Node) start(c *call, s gather.Send) {
-	ctx, cancel := context.WithCancel(context.Background())
-	n.attempts[s.Attempt] = cancel
-	go func() {
-		defer cancel()
-		f := c.request.Forward
-		f.Instance = s.Server.ID
-		reply, r := n.backend.Forward(ctx, s.Server.Address, s.Deadline, &f)
-		n.end(c, s, reply, r)
-	}()
-}
-
-// end reports the end of an attempt to the engine.
-func (n *Node) end(c *call, s gather.Send, reply *back.Reply, r back.Result) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := time.Now()
-	delete(n.attempts, s.Attempt)
-	act := n.engine.Done(now, s.Attempt, n.result(reply, r))
-	if n.calls[c.id] != c {
-		n.report(c, act)
-		return
-	}
-	if act.Accepted {
-		c.replies[s.Task] = reply
-	}
-	n.perform(now, c, act)
-}
-
-// result translates the end of an attempt.
-func (n *Node) result(reply *back.Reply, r back.Result) gather.Result {
-	return gather.Result{
-		Class: classOf(n.config.Headers.Seal, reply, r), Latency: r.Latency, ColdFor: r.ColdFor, Detail: r.Message,
-	}
-}
-
-func classOf(seal string, reply *back.Reply, r back.Result) gather.Class {
-	switch r.Class {
-	case back.OK:
-	case back.NotRun:
-		if reply != nil && reply.Status == misdirected {
-			return gather.OtherServer
-		}
-		return gather.NotRun
-	case back.Unsent:
-		if r.Local {
-			return gather.Busy
-		}
-		return gather.Unsent
-	case back.TimedOut, back.Silent:
-		return gather.TimedOut
-	case back.Canceled:
-		return gather.Canceled
-	default:
-		return gather.Broken
-	}
-	switch {
-	case reply.Status >= 500:
-		return gather.ServerError
-	case reply.Status < 200 || reply.Status >= 300:
-		return gather.Answered
-	case reply.Header.Get(seal) == "":
-		return gather.Broken
-	}
-	return gather.OK
-}
-
-// misdirected is the status by which a server says that the request is meant for another one.
-const misdirected = 421
-
 func (n *Node) report(c *call, act gather.Actions) {
 	for _, e := range act.Events {
-		n.log.Info(e.Name, "RequestId", c.request.Forward.RequestID, "Pool", e.Pool, "Server", e.Server, "Detail", e.Detail)
+		n.log.Info(e.Name, "RequestId", c.forward.RequestID, "Pool", e.Pool, "Server", e.Server, "Detail", e.Detail)
 	}
 }
--- a/peer/config.go
+++ b/peer/config.go
@@ -53,6 +53,10 @@
 	Feed     func(after uint64) feed.Delta
 	Revision func() uint64
 	Fed      func(feed.Delta) error
+	// Gather serves a query of another node as a relay and sends the parts of the answer. An error
+	// before the first part says that nothing was sent to a server. It ends when the asking node
+	// goes away.
+	Gather func(ctx context.Context, q *wire.GatherQuery, send func(wire.GatherPart) error) error
 }
 
 // Document is a configuration document, or with From above 0 the change from that version to it.
--- a/peer/server.go
+++ b/peer/server.go
@@ -42,6 +42,7 @@
 	mux.Handle("POST "+pathOrder, endpoint(n, h.Order, orderDeadline, false))
 	mux.Handle("POST "+pathExecute, endpoint(n, h.Execute, executeDeadline, false))
 	mux.Handle("GET "+pathConfig, n.guard(n.answerConfig))
+	mux.HandleFunc("POST "+pathGather, n.answerGather)
 	mux.Handle("GET "+pathFeed, n.guard(n.answerFeed))
 	mux.Handle("GET "+pathMembers, n.guard(func(*http.Request, []byte) (any, error) {
 		return ask(n, func(_ time.Time, f *fleet.Node) fleet.Table { return f.Table() }), nil
