Close idle connections of callers only when nothing has arrived on them

The server now keeps its own list of idle connections, checks for unread bytes and lets the library's wait for a request end.

--- a/front/server.go
+++ b/front/server.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,58 +24,98 @@
 	// idleExtra is what a connection may be idle beyond the limit, so that no request is on its way
 	// when the connection is closed.
 	idleExtra = 2 * time.Second
+	// drainCheck is the time between two checks for connections that have become idle while the
+	// server shuts down.
+	drainCheck = 20 * time.Millisecond
 )
 
 // Server serves callers on one listener.
 type Server struct {
-	http   *http.Server
-	limits func() table.Limits
-	mu     sync.Mutex
-	idle   map[net.Conn]time.Time
+	http     *http.Server
+	limits   func() table.Limits
+	draining atomic.Bool
+
+	mu sync.Mutex
+	// idle holds the connections without a request and since when they are; open counts all.
+	idle map[net.Conn]time.Time
+	open int
 }
 
 // NewServer returns a server of a handler. The limits are asked for as they change.
 func NewServer(h http.Handler, limits func() table.Limits, log *slog.Logger) *Server {
 	s := &Server{limits: limits, idle: make(map[net.Conn]time.Time)}
 	s.http = &http.Server{
-		Handler: h, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: table.DefaultHeaderTimeout,
+		Handler:        http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(h, w, r) }),
+		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: table.DefaultHeaderTimeout,
 		IdleTimeout: time.Hour, ConnState: s.changed,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	return s
 }
 
+func (s *Server) serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	h.ServeHTTP(w, r)
+}
+
 // changed notes when connections become idle. The library's own idle timeout cannot be changed while
 // it serves.
 func (s *Server) changed(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state == http.StateIdle {
+	switch state {
+	case http.StateNew:
+		s.open++
+		s.idle[c] = time.Now()
+	case http.StateIdle:
 		s.idle[c] = time.Now()
-		return
+	case http.StateClosed, http.StateHijacked:
+		s.open--
+		delete(s.idle, c)
+	default:
+		delete(s.idle, c)
 	}
-	delete(s.idle, c)
 }
 
 // Serve accepts connections until ctx ends, which cuts off what is in flight, or until Shutdown.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
-	defer stop()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	defer stop()
 	go s.reap(ctx)
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return errors.Wrapf(err, "front: serve on %s", l.Addr())
 	}
 	return nil
 }
 
 // Drain asks callers to close their connections after their next answer.
-func (s *Server) Drain() { s.http.SetKeepAlivesEnabled(false) }
+func (s *Server) Drain() { s.draining.Store(true) }
 
-// Shutdown closes idle connections and waits for the requests in flight.
+// Shutdown closes the connections as they become idle and returns when none is left, or when ctx
+// ends. The caller has closed the listener. A connection on which a request has arrived stays open
+// until it is answered.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return errors.Wrap(s.http.Shutdown(ctx), "front: shut down")
+	s.Drain()
+	t := time.NewTicker(drainCheck)
+	defer t.Stop()
+	for {
+		s.closeIdle(time.Now(), 0)
+		s.mu.Lock()
+		open := s.open
+		s.mu.Unlock()
+		if open == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "front: %d connections are in use", open)
+		case <-t.C:
+		}
+	}
 }
 
 func (s *Server) reap(ctx context.Context) {
@@ -84,22 +126,44 @@
 		case <-ctx.Done():
 			return
 		case now := <-t.C:
-			s.closeIdle(now)
+			limit := s.limits().IdleTimeout.Std()
+			if limit <= 0 {
+				limit = table.DefaultIdleTimeout
+			}
+			s.closeIdle(now, limit+idleExtra)
 		}
 	}
 }
 
-func (s *Server) closeIdle(now time.Time) {
-	limit := s.limits().IdleTimeout.Std()
-	if limit <= 0 {
-		limit = table.DefaultIdleTimeout
-	}
+// closeIdle ends connections that have been idle for longer than the limit.
+func (s *Server) closeIdle(now time.Time, limit time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, since := range s.idle {
-		if now.Sub(since) > limit+idleExtra {
-			_ = c.Close()
+		if now.Sub(since) > limit && !hasInput(c) {
+			// The library closes the connection when its wait for a request ends. Closing it here
+			// could cut off a request that has just been read.
+			_ = c.SetReadDeadline(time.Unix(1, 0))
 			delete(s.idle, c)
 		}
 	}
 }
+
+// hasInput reports whether bytes have arrived that nobody has read.
+func hasInput(c net.Conn) bool {
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		pending = err == nil && n > 0
+	})
+	return err == nil && pending
+}
--- a/node.go
+++ b/node.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"net"
-	"net/http"
-	"net/netip"
-	"time"
+	"os"
+	"os/signal"
+	"syscall"
 
-	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/front"
@@ -33,8 +30,14 @@
 		Name:      "node",
 		Usage:     "arbutusthread node --config FILE",
 		ShortHelp: "run one node on the users' platform",
-		Flags:     flags,
-		Exec:      c.exec,
+		LongHelp: `Logs JSON lines to the standard output. SIGTERM and SIGINT stop the node in a planned
+way; a second one ends it at once. SIGHUP reads the settings again. Exits with 4 if the
+settings have faults, and with 1 if a socket fails.
+
+Example:
+  arbutusthread node --config examples/node.json`,
+		Flags: flags,
+		Exec:  c.exec,
 	}
 }
 
@@ -42,16 +45,12 @@
 	if err := wantArgs(args, 0, 0, "no arguments"); err != nil {
 		return err
 	}
-	b, err := c.readFile(c.config)
-	if err != nil {
-		return err
+	if c.config == "" {
+		return usagef("--config is required")
 	}
-	settings, err := conf.ParseSettings(b)
+	settings, err := c.load()
 	if err != nil {
-		return exitWith(exitInvalid, err)
-	}
-	if err := settings.Check().Err(); err != nil {
-		return exitWith(exitInvalid, err)
+		return err
 	}
 	log := slog.New(slog.NewJSONHandler(c.out, &slog.HandlerOptions{Level: settings.Log.SlogLevel()}))
 	n, err := node.New(node.Config{
@@ -60,49 +59,40 @@
 	if err != nil {
 		return err
 	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	handler := front.NewHandler(front.Config{Backend: n, Headers: platform.Headers(), Log: log})
-	server := front.NewServer(handler, func() table.Limits {
-		if t := n.Table(); t != nil {
-			return t.Config().Limits
-		}
+	log.Info("node starts", "Name", settings.Name, "FailureDomain", settings.FailureDomain, "CallerAddress", settings.CallerAddress)
+	return front.Serve(ctx, &front.Runtime{
+		Callers: settings.CallerAddress,
+		Server:  front.NewServer(handler, func() table.Limits { return limitsOf(n.Table()) }, log),
+		Sides: []front.Endpoint{
+			{Address: settings.DirectoryAddress, Handler: platform.DirectoryHandler(n, log)},
+			{Address: settings.ReadyAddress, Handler: platform.ReadyHandler(n)},
+		},
+		Run: n.Run, Leave: n.Leave, StopTime: settings.Bounds.StopTime.Std(), Log: log,
+	})
+}
+
+func limitsOf(t *table.Table) table.Limits {
+	if t == nil {
 		return table.Limits{}
-	}, log)
-	running, cut := context.WithCancel(context.WithoutCancel(ctx))
-	defer cut()
-	group, running := errgroup.WithContext(running)
-	group.Go(func() error { return n.Run(running) })
-	l, err := listenAt(settings.CallerAddress)
-	if err != nil {
-		return err
-	}
-	group.Go(func() error { return server.Serve(running, l) })
-	for _, x := range []struct {
-		address netip.AddrPort
-		handler http.Handler
-	}{
-		{settings.DirectoryAddress, platform.DirectoryHandler(n, log)},
-		{settings.ReadyAddress, platform.ReadyHandler(n)},
-	} {
-		l, err := listenAt(x.address)
-		if err != nil {
-			return err
-		}
-		group.Go(func() error { return http.Serve(l, x.handler) })
 	}
-	log.Info("node started", "Name", settings.Name)
-	<-ctx.Done()
-	log.Info("node stops")
-	n.Leave()
-	time.Sleep(1500 * time.Millisecond)
-	server.Drain()
-	time.Sleep(2000 * time.Millisecond)
-	stop, cancel := context.WithTimeout(running, 2*time.Second)
-	defer cancel()
-	_ = server.Shutdown(stop)
-	return nil
+	return t.Config().Limits
 }
 
-func listenAt(a netip.AddrPort) (net.Listener, error) {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
-	return l, errors.Wrapf(err, "listen on %s", a)
+func (c *router) load() (*conf.Settings, error) {
+	b, err := c.readFile(c.config)
+	if err != nil {
+		return nil, err
+	}
+	settings, err := conf.ParseSettings(b)
+	if err != nil {
+		return nil, exitWith(exitInvalid, err)
+	}
+	if err := settings.Check().Err(); err != nil {
+		return nil, exitWith(exitInvalid, err)
+	}
+	return settings, nil
 }
