Let shards wait for room at servers

Shards now wait at the node until a server has room, a server that sheds gets no more than it took, and all nodes together use half of a server's connections.

--- a/back/forward.go
+++ b/back/forward.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -68,7 +69,7 @@
 		c, err := p.take(ctx, deadline, f.Once)
 		r.Wait = time.Since(start)
 		if err != nil {
-			r.Refused = refused(err)
+			r.Refused, r.Reset = refused(err), errors.Is(err, syscall.ECONNRESET)
 			r.Local = errors.Is(err, errCanceled) || errors.Is(err, errNoSlot) && !p.dials()
 			r.fail(Unsent, err.Error())
 			return nil, r
@@ -100,6 +101,7 @@
 	if err != nil && c.written == before {
 		stop()
 		p.discard(c)
+		r.Reset = r.Fresh && errors.Is(err, syscall.ECONNRESET)
 		r.fail(Unsent, errors.Wrapf(err, "back: write to %s", p.host).Error())
 		return nil, !r.Fresh && !isTimeout(err) && ctx.Err() == nil
 	}
--- a/back/result.go
+++ b/back/result.go
@@ -66,6 +66,9 @@
 	Fresh bool
 	// Refused means that the server refused or reset a connection.
 	Refused bool
+	// Reset means that the server reset a connection before a byte was written, as it does above its
+	// cap.
+	Reset bool
 	// Local means that an Unsent attempt ended here, for want of a free connection under the cap or
 	// by its cancellation. It says nothing about the server.
 	Local bool
--- a/gather/choose.go
+++ b/gather/choose.go
@@ -17,8 +17,8 @@
 	coldSlowness  = 1.6
 )
 
-// choose returns the server for the next attempt of a task, or nil when none can take it. Servers
-// that the task has used already are left out.
+// choose returns the server for the next attempt of a task, or nil when none can take it now. A nil
+// task is one that has not been sent yet.
 func (e *Engine) choose(now time.Time, j *job, p *pool, t *task) *server {
 	if p == nil {
 		return nil
@@ -26,7 +26,7 @@
 	var best, spare *server
 	least, leastSpare := 0.0, 0.0
 	for _, s := range p.servers {
-		if t.used(s) || !e.usable(now, s) || j.Relayed && s.FailureDomain != e.config.FailureDomain {
+		if t != nil && !t.mayReach(now, s) || !e.usable(now, s) || j.Relayed && s.FailureDomain != e.config.FailureDomain {
 			continue
 		}
 		v := e.score(now, j, s)
@@ -53,23 +53,13 @@
 // usable reports whether the server may get another request from this node.
 func (e *Engine) usable(now time.Time, s *server) bool { return !s.Draining && s.hasRoom(now, e.nodes) }
 
-// used reports whether the task may have been sent to the server. A relay chooses among the servers
-// of its failure domain.
-func (t *task) used(s *server) bool {
-	if t == nil {
+// hasRoom reports whether a connection, room at the server and, in a cold start, a part of its rate
+// is left.
+func (s *server) hasRoom(now time.Time, nodes int) bool {
+	if s.Connections > 0 && len(s.open) >= s.Connections || s.window > 0 && len(s.open) >= s.window {
 		return false
 	}
-	for _, a := range t.attempts {
-		if a.server == s || a.relay != nil && !a.clean && a.domain == s.FailureDomain {
-			return true
-		}
-	}
-	return false
-}
-
-// hasRoom reports whether a connection and, in a cold start, a part of the rate is left.
-func (s *server) hasRoom(now time.Time, nodes int) bool {
-	if s.Connections > 0 && len(s.open) >= s.Connections {
+	if now.Before(s.fullUntil) {
 		return false
 	}
 	if s.ColdRate > 0 && s.cold(now) {
--- a/gather/engine.go
+++ b/gather/engine.go
@@ -162,6 +162,8 @@
 	// Busy means that no byte was written for want of a connection under the cap. It says nothing
 	// about the server.
 	Busy Class = "busy"
+	// Full means that the server has reset a connection above its cap, before a byte was written.
+	Full Class = "full"
 	// Broken means that the connection failed or the answer was invalid after a byte was written.
 	Broken Class = "broken"
 	// TimedOut means that no answer came before the deadline.
@@ -173,7 +175,7 @@
 // mayHaveRun reports whether a server may have run an attempt that ended so.
 func (c Class) mayHaveRun() bool {
 	switch c {
-	case NotRun, OtherServer, Unsent, Busy:
+	case NotRun, OtherServer, Unsent, Busy, Full:
 		return false
 	}
 	return true
--- a/gather/finish.go
+++ b/gather/finish.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		t.hedgeAt = time.Time{}
-		if !e.mayRetry(now, j, t) {
+		if t.inFlight() != 1 || !t.mayRetry(now) {
 			continue
 		}
 		s := e.choose(now, j, t.pool, t)
--- a/gather/job.go
+++ b/gather/job.go
@@ -19,6 +19,8 @@
 	// Relayed means that this node is the relay: the shards count as requests at the node that asked,
 	// and only servers in the failure domain of this node are used.
 	Relayed bool
+	// Priority ranks requests that wait for a server; 0 is the most urgent.
+	Priority int
 	// MinCoverage is the least share of shards that an answer must cover.
 	MinCoverage float64
 	// MaxAttempts is the number of servers to which each shard may be sent.
@@ -48,12 +50,15 @@
 type task struct {
 	pool     *pool
 	index    int
+	job      *job
 	attempts []*attempt
 	answered bool
 	lost     bool
-	// servers counts those that may have got the request.
-	servers int
-	hedgeAt time.Time
+	hedgeAt  time.Time
+	// waiting means that the task is not in flight and waits for room at a server, or until retryAt
+	// when that is set.
+	waiting bool
+	retryAt time.Time
 }
 
 // attempt is one sending of a task to a server.
@@ -70,8 +75,17 @@
 	sentAt   time.Time
 	ended    bool
 	canceled bool
-	// clean means that the attempt has ended and has reached no server.
-	clean bool
+	endedAt  time.Time
+	// clean means that the attempt has ended and has reached no server, mayHaveRun that a server may
+	// have run it.
+	clean      bool
+	mayHaveRun bool
+}
+
+func (a *attempt) end(now time.Time, c Class) {
+	a.ended, a.endedAt = true, now
+	a.clean = c == Unsent || c == Busy || c == Full
+	a.mayHaveRun = c.mayHaveRun()
 }
 
 // Submit adds a request. It may be refused at once, in which case Finished is set.
@@ -79,7 +93,7 @@
 	e.lastJob++
 	j := &job{Request: r, id: e.lastJob, started: now, tasks: make([]task, len(r.Pools)), class: e.classOf(now, &r)}
 	var act Actions
-	if reason := e.unservable(now, j); reason != "" {
+	if reason := e.unservable(j); reason != "" {
 		act.Finished = &Finished{Job: j.id, End: Refused, Total: len(j.tasks), RetryAfter: retryAfter, Reason: reason}
 		return j.id, act
 	}
@@ -87,8 +101,8 @@
 	tasks := make([]*task, 0, len(j.tasks))
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		t.index, t.pool = i, e.pools[r.Pools[i]]
-		if t.pool == nil {
+		t.job, t.index, t.pool = j, i, e.pools[r.Pools[i]]
+		if !t.pool.hasServers() {
 			j.lose(t, "no server of "+r.Pools[i]+" is listed", &act)
 			continue
 		}
@@ -98,7 +112,7 @@
 		tasks = append(tasks, t)
 	}
 	for _, t := range e.sendRelayed(now, j, tasks, &act) {
-		e.sendPrimary(now, j, t, &act)
+		e.place(now, t, Primary, &act)
 	}
 	e.conclude(now, j, &act)
 	return j.id, act
@@ -121,17 +135,17 @@
 }
 
 // unservable returns why the request cannot be served now, or nothing.
-func (e *Engine) unservable(now time.Time, j *job) string {
+func (e *Engine) unservable(j *job) string {
 	missing := 0
 	name := ""
 	for _, p := range j.Pools {
-		if e.choose(now, j, e.pools[p], nil) == nil {
+		if !e.pools[p].hasServers() {
 			missing++
 			name = p
 		}
 	}
-	if !j.reaches(len(j.Pools) - missing) {
-		return "no server of " + name + " can take it"
+	if missing > 0 && !j.reaches(len(j.Pools)-missing) {
+		return "no server of " + name + " is listed"
 	}
 	return ""
 }
@@ -154,14 +168,22 @@
 	act.Lost = append(act.Lost, t.index)
 }
 
-func (e *Engine) sendPrimary(now time.Time, j *job, t *task, act *Actions) {
-	s := e.choose(now, j, t.pool, nil)
-	if s == nil {
-		j.lose(t, "no server of "+t.pool.name+" can take it", act)
-		return
+// place sends a task to the best server, or lets it wait until one has room.
+func (e *Engine) place(now time.Time, t *task, p Purpose, act *Actions) {
+	j := t.job
+	s := e.choose(now, j, t.pool, t)
+	switch {
+	case s == nil && j.Relayed:
+		// The node that asked can reach other servers.
+		j.lose(t, "no server of "+t.pool.name+" has room", act)
+	case s == nil:
+		e.wait(t, time.Time{})
+	case p == Retry && !t.isUnsent() && !t.pool.budget.spend(&e.config.Budget, now, e.nodes):
+		e.wait(t, now.Add(budgetPause))
+	default:
+		e.send(now, j, t, s, p, act)
+		t.hedgeAt = e.hedgeTime(now, j)
 	}
-	e.send(now, j, t, s, Primary, act)
-	t.hedgeAt = e.hedgeTime(now, j)
 }
 
 func (e *Engine) send(now time.Time, j *job, t *task, s *server, p Purpose, act *Actions) {
@@ -169,7 +191,6 @@
 	a := &attempt{id: e.lastSent, job: j, task: t, server: s, domain: s.FailureDomain, purpose: p, sentAt: now}
 	e.attempts[a.id] = a
 	t.attempts = append(t.attempts, a)
-	t.servers++
 	s.open = append(s.open, a)
 	s.sent.add(now)
 	act.Sends = append(act.Sends, Send{
@@ -185,31 +206,28 @@
 	if a == nil || a.ended {
 		return act
 	}
-	a.ended = true
-	a.clean = r.Class == Unsent || r.Class == Busy
+	a.end(now, r.Class)
 	delete(e.attempts, id)
 	a.server.drop(a)
 	e.learn(now, a, r, &act)
 	j, t := a.job, a.task
-	if r.Class.mayHaveRun() {
+	if a.mayHaveRun {
 		j.sent = true
-	} else {
-		t.servers--
-		if a.purpose != Primary && a.clean {
-			t.pool.budget.refund()
-		}
+	} else if a.purpose != Primary && a.clean {
+		t.pool.budget.refund()
 	}
+	e.dispatch(now, a.server.pool, &act)
 	if e.jobs[j.id] != j || t.answered || t.lost {
 		return act
 	}
 	switch {
-	case r.Class == OK, len(j.tasks) == 1 && e.isFinal(now, j, t, r.Class):
+	case r.Class == OK, len(j.tasks) == 1 && e.isFinal(now, t, r.Class):
 		t.answered = true
 		j.answered++
 		act.Accepted = true
 		e.drop(t, &act, false)
 	default:
-		e.afterFailure(now, j, t, r, &act)
+		e.afterFailure(now, t, r, &act)
 	}
 	e.conclude(now, j, &act)
 	return act
@@ -217,12 +235,12 @@
 
 // isFinal reports whether an answer that is not a success is what the caller of a request with one
 // shard gets. A fault of the server is, when no other attempt is in flight and none is allowed.
-func (e *Engine) isFinal(now time.Time, j *job, t *task, c Class) bool {
+func (e *Engine) isFinal(now time.Time, t *task, c Class) bool {
 	switch c {
 	case Answered:
 		return true
 	case ServerError:
-		return t.inFlight() == 0 && (!j.Idempotent || !e.mayRetry(now, j, t))
+		return t.inFlight() == 0 && (!t.job.Idempotent || !t.mayRetry(now))
 	}
 	return false
 }
@@ -249,14 +267,15 @@
 		c.latencies.Add(r.Latency)
 		s.observe(now, float64(r.Latency)/typical)
 		s.succeed(now)
+		s.grow()
 	case ServerError:
 		s.answeredAt = now
 		e.ejectAfter(now, s, false, r, act)
-	case NotRun:
-		// A server that sheds is alive and full.
+	case NotRun, Full:
+		// The server is alive and full.
 		s.answeredAt = now
 		s.observe(now, shedSlowness)
-		e.ejectAfter(now, s, false, r, act)
+		s.shed(now)
 	case OtherServer, Unsent:
 		e.ejectAfter(now, s, true, r, act)
 	case Broken:
@@ -283,23 +302,17 @@
 }
 
 // afterFailure retries a task whose attempt has failed, or gives it up.
-func (e *Engine) afterFailure(now time.Time, j *job, t *task, r Result, act *Actions) {
-	if r.Class.mayHaveRun() && !j.Idempotent {
-		j.lose(t, string(r.Class)+": "+r.Detail, act)
-		return
-	}
-	if t.inFlight() > 0 {
-		return
-	}
-	if e.mayRetry(now, j, t) {
-		s := e.choose(now, j, t.pool, t)
-		if s != nil && (t.isUnsent() || t.pool.budget.spend(&e.config.Budget, now, e.nodes)) {
-			e.send(now, j, t, s, Retry, act)
-			t.hedgeAt = e.hedgeTime(now, j)
-			return
-		}
+func (e *Engine) afterFailure(now time.Time, t *task, r Result, act *Actions) {
+	switch {
+	case r.Class.mayHaveRun() && !t.job.Idempotent, t.job.Relayed:
+		t.job.lose(t, string(r.Class)+": "+r.Detail, act)
+	case t.inFlight() > 0:
+	case !t.mayRetry(now):
+		t.job.lose(t, string(r.Class)+": "+r.Detail, act)
+	default:
+		t.job.reason = string(r.Class) + ": " + r.Detail
+		e.place(now, t, Retry, act)
 	}
-	j.lose(t, string(r.Class)+": "+r.Detail, act)
 }
 
 // isUnsent reports whether no attempt of the task has reached a server, so that the next one is its
@@ -313,12 +326,37 @@
 	return true
 }
 
-func (e *Engine) mayRetry(now time.Time, j *job, t *task) bool {
-	return t.servers < j.MaxAttempts && len(t.attempts) < maxTries && now.Before(j.Deadline)
+// maxTries bounds the sends of a task, with those that reached no server.
+const maxTries = 8
+
+// mayRetry reports whether the task may be sent once more.
+func (t *task) mayRetry(now time.Time) bool {
+	return len(t.attempts) < maxTries && now.Before(t.job.Deadline)
 }
 
-// maxTries bounds the sends of a task, with those that reached no server.
-const maxTries = 6
+// mayReach reports whether the task may be sent to the server: to as many servers as the request
+// allows, and again to one of them when the last attempt there is some time past.
+func (t *task) mayReach(now time.Time, s *server) bool {
+	reached, again := 0, false
+	seen := make(map[*server]bool, len(t.attempts))
+	for _, a := range t.attempts {
+		if a.server == s || a.relay != nil && a.domain == s.FailureDomain {
+			if !a.ended || now.Sub(a.endedAt) < againPause {
+				return false
+			}
+			again = again || a.mayHaveRun
+		}
+		if (!a.ended || a.mayHaveRun) && (a.server == nil || !seen[a.server]) {
+			seen[a.server] = true
+			reached++
+		}
+	}
+	return again || reached < t.job.MaxAttempts
+}
+
+// againPause is the time after which a task may be sent to a server once more that has not answered
+// it. It is above the time that a full server needs for a request.
+const againPause = 50 * time.Millisecond
 
 // drop marks the attempts of a task that are in flight as unwanted, and ends them at once when the
 // caller has left.
@@ -370,6 +408,7 @@
 		return act
 	}
 	e.hedge(now, j, &act)
+	e.retry(now, j, &act)
 	e.conclude(now, j, &act)
 	return act
 }
@@ -386,8 +425,13 @@
 	}
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if !t.answered && !t.lost && !t.hedgeAt.IsZero() {
-			wake = earlier(wake, t.hedgeAt)
+		if t.answered || t.lost {
+			continue
+		}
+		for _, at := range []time.Time{t.hedgeAt, t.retryAt} {
+			if !at.IsZero() {
+				wake = earlier(wake, at)
+			}
 		}
 	}
 	return wake
--- a/gather/relay.go
+++ b/gather/relay.go
@@ -125,7 +125,7 @@
 func (e *Engine) largestGroup(now time.Time, j *job, tasks []*task) (string, []*task) {
 	groups := make(map[string][]*task)
 	for _, t := range tasks {
-		best := e.choose(now, j, t.pool, t)
+		best := e.choose(now, j, t.pool, nil)
 		if best == nil || best.FailureDomain == e.config.FailureDomain {
 			continue
 		}
@@ -165,7 +165,6 @@
 	for _, t := range group {
 		a := &attempt{job: j, task: t, relay: r, domain: n.FailureDomain, purpose: Primary, sentAt: now}
 		t.attempts = append(t.attempts, a)
-		t.servers++
 		t.hedgeAt = e.hedgeTime(now, j)
 		n.open = append(n.open, a)
 		r.attempts[t.index] = a
@@ -250,8 +249,7 @@
 }
 
 func (e *Engine) endRelayed(now time.Time, r *relayCall, a *attempt, res Result) {
-	a.ended = true
-	a.clean = res.Class == Unsent
+	a.end(now, res.Class)
 	r.node.drop(a)
 	s := a.relayed()
 	if res.Class == OK {
@@ -286,12 +284,8 @@
 func (e *Engine) failRelayed(now time.Time, r *relayCall, a *attempt, res Result, act *Actions) {
 	e.endRelayed(now, r, a, res)
 	j, t := a.job, a.task
-	if res.Class.mayHaveRun() {
-		j.sent = true
-	} else {
-		t.servers--
-	}
+	j.sent = j.sent || a.mayHaveRun
 	if e.jobs[j.id] == j && !t.answered && !t.lost {
-		e.afterFailure(now, j, t, res, act)
+		e.afterFailure(now, t, res, act)
 	}
 }
--- a/gather/server.go
+++ b/gather/server.go
@@ -35,6 +35,22 @@
 	name    string
 	servers []*server
 	budget  budget
+	// waiting are the tasks that wait for room at a server, the most urgent first. Some may have
+	// ended.
+	waiting []*task
+}
+
+// hasServers reports whether the pool has servers that take new work, now or later.
+func (p *pool) hasServers() bool {
+	if p == nil {
+		return false
+	}
+	for _, s := range p.servers {
+		if !s.Draining {
+			return true
+		}
+	}
+	return false
 }
 
 // server is what the engine knows of a backend server.
@@ -43,10 +59,16 @@
 	health
 	pool *pool
 	sent coldMeter
+	// window is the number of requests that this node sends at once to a server that has refused
+	// one; 0 means no bound.
+	window int
+	// fullUntil is set when the server has refused a request.
+	fullUntil time.Time
 }
 
-// SetPools makes the engine use exactly these pools and servers. Requests in flight go on.
-func (e *Engine) SetPools(pools []Pool) {
+// SetPools makes the engine use exactly these pools and servers. Requests in flight go on, and those
+// that wait may be sent.
+func (e *Engine) SetPools(now time.Time, pools []Pool) Actions {
 	servers := make(map[string]*server, len(e.servers))
 	next := make(map[string]*pool, len(pools))
 	for _, c := range pools {
@@ -67,6 +89,11 @@
 		next[c.Name] = p
 	}
 	e.pools, e.servers = next, servers
+	var act Actions
+	for _, p := range next {
+		e.dispatch(now, p, &act)
+	}
+	return act
 }
 
 func (s *server) update(v Server, p *pool) {
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -34,6 +34,7 @@
 		Class: classOf(seal, reply, r), Latency: r.Latency, ColdFor: r.ColdFor, Detail: r.Message,
 	})
 	if n.calls[c.id] != c {
+		n.performAll(now, act)
 		n.report(c, act)
 		return
 	}
@@ -53,8 +54,11 @@
 		}
 		return gather.NotRun
 	case back.Unsent:
-		if r.Local {
+		switch {
+		case r.Local:
 			return gather.Busy
+		case r.Reset:
+			return gather.Full
 		}
 		return gather.Unsent
 	case back.TimedOut, back.Silent:
--- a/node/install.go
+++ b/node/install.go
@@ -69,7 +69,7 @@
 	defer n.mu.Unlock()
 	pools, servers := n.pools(t, &v)
 	n.backend.SetServers(servers)
-	n.engine.SetPools(pools)
+	n.performAll(now, n.engine.SetPools(now, pools))
 	n.splitter.Keep(t)
 	n.servers.Store(domainsOf(pools))
 	n.table.Store(t)
@@ -78,7 +78,7 @@
 // pools returns the servers by service. A service that no configuration names yet is kept, so that
 // its servers are known when one does.
 func (n *Node) pools(t *table.Table, v *feed.View) ([]gather.Pool, []back.Server) {
-	nodes := max(1, len(n.peer.Members()))
+	nodes := max(len(n.peer.Members()), len(n.config.Settings.Seeds), 1)
 	byName := make(map[string]int)
 	var pools []gather.Pool
 	for name := range servicesOf(t, v) {
@@ -114,12 +114,20 @@
 	return names
 }
 
-// share returns a node's part of the connections that a server accepts, at least one.
+const (
+	// connectionShare is the part of a server's connections that all nodes together use. The rest is
+	// for connections that a server still holds to nodes that were lost.
+	connectionShare = 0.5
+	// minConnections of a node keep a hedge possible beside a request.
+	minConnections = 2
+)
+
+// share returns a node's part of the connections that a server accepts.
 func share(connections, nodes int) int {
 	if connections <= 0 {
 		return 0
 	}
-	return max(1, connections/nodes)
+	return max(minConnections, int(connectionShare*float64(connections))/nodes)
 }
 
 // coldRate returns the requests a second that all nodes may send to a cold server.
--- a/node/relay.go
+++ b/node/relay.go
@@ -51,6 +51,7 @@
 		Answered: answered, Latencies: durations(p.Latencies), Failed: failed, Declined: declined,
 	})
 	if n.calls[c.id] != c {
+		n.performAll(now, act)
 		n.report(c, act)
 		return
 	}
@@ -102,6 +103,7 @@
 	delete(n.relays, s.Relay)
 	act := n.engine.RelayEnd(now, s.Relay, r)
 	if n.calls[c.id] != c {
+		n.performAll(now, act)
 		n.report(c, act)
 		return
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -71,7 +71,7 @@
 		forward: r.Forward, topK: r.Route.TopK,
 		job: gather.Request{
 			Class: r.Route.Name, Pools: pools, Idempotent: r.Route.Idempotent, MinCoverage: minCoverage(r.Route),
-			MaxAttempts: r.Route.Attempts(), Deadline: r.Deadline, Target: r.Target,
+			MaxAttempts: r.Route.Attempts(), Priority: r.Route.Priority, Deadline: r.Deadline, Target: r.Target,
 			Relayable: len(r.Route.Shards) > 0 && len(r.Route.Homes) == 0,
 		},
 	}
@@ -129,9 +129,7 @@
 
 // perform carries out actions. The caller holds n.mu.
 func (n *Node) perform(now time.Time, c *call, act gather.Actions) {
-	for _, s := range act.Sends {
-		n.start(c, s)
-	}
+	n.performAll(now, act)
 	for _, s := range act.Relays {
 		n.startRelay(now, c, s)
 	}
@@ -151,6 +149,17 @@
 	n.schedule(now, c)
 }
 
+// performAll sends the attempts of all calls: the end of one request may make room for another.
+// The caller holds n.mu.
+func (n *Node) performAll(now time.Time, act gather.Actions) {
+	for _, s := range act.Sends {
+		if c := n.calls[s.Job]; c != nil {
+			n.start(c, s)
+			n.schedule(now, c)
+		}
+	}
+}
+
 // cancelAll ends attempts after a delay.
 func cancelAll[K comparable](running map[K]context.CancelFunc, ids []K, delay time.Duration) {
 	for _, id := range ids {
