--- a/conf/settings.go
+++ b/conf/settings.go
@@ -88,6 +88,9 @@
 	// any second.
 	ColdOvershoot float64 `json:"ColdOvershoot,omitempty"`
 	ColdSlack     float64 `json:"ColdSlack,omitempty"`
+	// ApplyTime is the time in which a change of the configuration or of the servers must be in
+	// force; 0 means 5 s.
+	ApplyTime wire.Duration `json:"ApplyTime,omitempty"`
 	// StopTime is how long a node may take to stop.
 	StopTime wire.Duration `json:"StopTime,omitempty"`
 }
--- a/feed/change.go
+++ b/feed/change.go
@@ -31,13 +31,15 @@
 	Born time.Time `json:"Born,omitzero"`
 }
 
-// Change is one change of what the platform publishes. Exactly one of Config, Server, Removed, Out
-// and In is set.
+// Change is one change of what the platform publishes. Exactly one of Config, Patch, Server, Removed,
+// Out and In is set.
 type Change struct {
 	// Revision orders the changes of the platform.
-	Revision uint64        `json:"Revision"`
-	Config   *table.Config `json:"Config,omitempty"`
-	Server   *Server       `json:"Server,omitempty"`
+	Revision uint64 `json:"Revision"`
+	// Config is a new configuration, and Patch the difference from one that the receiver has.
+	Config *table.Config `json:"Config,omitempty"`
+	Patch  *table.Delta  `json:"Patch,omitempty"`
+	Server *Server       `json:"Server,omitempty"`
 	// Removed is the ID of a server that is no longer listed.
 	Removed string `json:"Removed,omitempty"`
 	// Lapsed marks a removal that was seen just after the platform had been away: the entry may
@@ -48,11 +50,14 @@
 	In  string `json:"In,omitempty"`
 }
 
+// keyConfig is the key of changes of the configuration.
+const keyConfig = "config"
+
 // key identifies what the change is about.
 func (c *Change) key() string {
 	switch {
-	case c.Config != nil:
-		return "config"
+	case c.Config != nil, c.Patch != nil:
+		return keyConfig
 	case c.Server != nil:
 		return "server/" + c.Server.ID
 	case c.Removed != "":
@@ -73,5 +78,12 @@
 	Changes []Change `json:"Changes,omitempty"`
 }
 
+// Position is how far a copy of what the platform publishes has come.
+type Position struct {
+	Revision uint64
+	// Version is that of the configuration, 0 without one.
+	Version uint64
+}
+
 // ErrGap means that a delta begins after the revision of the state.
 var ErrGap = errors.New("feed: changes are missing before the delta")
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -16,17 +16,21 @@
 	WatchTime = time.Second
 	// batchTime is the least time between two watches, so that changes in quick succession take few
 	// calls.
-	batchTime = 100 * time.Millisecond
+	batchTime = 300 * time.Millisecond
+	// idleCheck is the time between two checks whether a node should read.
+	idleCheck = 100 * time.Millisecond
 	// firstRetry is the pause after the first failure. It doubles up to lastRetry, which is a third
 	// of the time in which a change must be in force.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
 	// returnTime is how long after an outage removals count as lapsed entries.
 	returnTime = 3 * time.Second
-	// StaleTime is the age of the data from which a node that is no reader reads the platform
-	// itself. It is above the age that a watch and a heartbeat give, and below the time in which a
-	// change must be in force.
-	StaleTime = 2 * time.Second
+	// staleShare of the time in which a change must be in force is the age of the data from which a
+	// node that is no reader reads the platform itself. A watch and the heartbeats on the way from a
+	// reader give less, and the rest is enough for the read.
+	staleShare = 0.6
+	// defaultApplyTime is used where no bound is set.
+	defaultApplyTime = 5 * time.Second
 	// staleStep delays the nodes of a failure domain in turn, so that few of them take over.
 	staleStep = 300 * time.Millisecond
 	// staleSteps bounds the delay.
@@ -34,6 +38,8 @@
 	// JoinTime is how long a node that has just started waits for the data of a peer before it
 	// reads the platform.
 	JoinTime = 600 * time.Millisecond
+	// settleTime is how long a node that has just started knows too few others to trust its rank.
+	settleTime = 3 * time.Second
 )
 
 // Reader decides when and how a node reads the platform. It is not safe for concurrent use.
@@ -42,6 +48,8 @@
 	started time.Time
 	// seed means that others start by asking this node, so that it reads at once.
 	seed bool
+	// stale is the age of the data from which a node that is no reader reads.
+	stale time.Duration
 	// at is the revision after which the next watch begins, 0 before the first load.
 	at uint64
 	// reload is set when the platform no longer has the changes after at.
@@ -52,8 +60,22 @@
 	next     time.Time
 }
 
-// NewReader returns the reader of a node that starts now. A seed reads at once.
-func NewReader(now time.Time, seed bool) *Reader { return &Reader{started: now, seed: seed} }
+// ReaderConfig describes a reader.
+type ReaderConfig struct {
+	Started time.Time
+	// Seed means that other nodes start by asking this one.
+	Seed bool
+	// ApplyTime is the time in which a change must be in force; 0 means 5 s.
+	ApplyTime time.Duration
+}
+
+// NewReader returns a reader that has read nothing.
+func NewReader(c ReaderConfig) *Reader {
+	if c.ApplyTime <= 0 {
+		c.ApplyTime = defaultApplyTime
+	}
+	return &Reader{started: c.Started, seed: c.Seed, stale: time.Duration(staleShare * float64(c.ApplyTime))}
+}
 
 // Step is what a reader does next.
 type Step int
@@ -89,7 +111,7 @@
 // Plan returns the next step.
 func (r *Reader) Plan(now time.Time, in Input) Plan {
 	if !r.isDue(now, in) {
-		return Plan{Step: Idle, Wait: batchTime}
+		return Plan{Step: Idle, Wait: idleCheck}
 	}
 	if now.Before(r.next) {
 		return Plan{Step: Idle, Wait: r.next.Sub(now)}
@@ -106,10 +128,10 @@
 	if in.Revision == 0 {
 		return r.seed || now.Sub(r.started) >= JoinTime
 	}
-	if in.Rank == 0 {
+	if in.Rank == 0 && (r.seed || now.Sub(r.started) >= settleTime) {
 		return true
 	}
-	limit := StaleTime + time.Duration(min(in.Rank-1, staleSteps))*staleStep
+	limit := r.stale + time.Duration(min(max(in.Rank-1, 0), staleSteps))*staleStep
 	return !in.Known || in.Age > limit
 }
 
--- a/feed/state.go
+++ b/feed/state.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/arbutusthread/arbutusthread/table"
 )
 
@@ -15,6 +17,9 @@
 	// logLimit is the number of changes that are kept for nodes that are behind. A node that needs
 	// older ones gets the full state.
 	logLimit = 4096
+	// keptConfigs is the number of configurations from which a node gets a patch. Changes in quick
+	// succession come several a second.
+	keptConfigs = 16
 	// tombstoneTime is how long the removal of a server is remembered, so that late news cannot
 	// bring it back.
 	tombstoneTime = time.Minute
@@ -26,7 +31,9 @@
 	// confirmed is the last time at which the state was known to be current.
 	confirmed time.Time
 	config    *table.Config
-	servers   map[string]*entry
+	// configs are the last configurations, from which nodes that are behind get a patch.
+	configs []*table.Config
+	servers map[string]*entry
 	// out holds the failure domains that operators have taken out.
 	out map[string]bool
 	// revisions holds the revision of the last change by its key.
@@ -66,6 +73,15 @@
 // delta.
 func (s *State) Revision() uint64 { return s.revision }
 
+// Position returns how far the state has come.
+func (s *State) Position() Position {
+	p := Position{Revision: s.revision}
+	if s.config != nil {
+		p.Version = s.config.Version
+	}
+	return p
+}
+
 // Config returns the configuration in force, or nil.
 func (s *State) Config() *table.Config { return s.config }
 
@@ -89,9 +105,12 @@
 	if d.To < s.revision && d.Full {
 		return false, nil
 	}
-	changes := d.Changes
+	changes := slices.Clone(d.Changes)
 	if d.Full {
-		changes = append(slices.Clone(changes), s.missing(d)...)
+		changes = append(changes, s.missing(d)...)
+	}
+	if err := s.unpack(changes); err != nil {
+		return false, err
 	}
 	slices.SortStableFunc(changes, func(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) })
 	changed := false
@@ -109,6 +128,23 @@
 	return changed, nil
 }
 
+// unpack replaces patches by the configurations that they lead to. A patch to a version that the
+// state has already is left as it is.
+func (s *State) unpack(changes []Change) error {
+	for i := range changes {
+		c := &changes[i]
+		if c.Patch == nil || s.config != nil && c.Patch.To <= s.config.Version {
+			continue
+		}
+		config, err := c.Patch.Apply(s.config)
+		if err != nil {
+			return errors.Wrapf(err, "feed: configuration %d", c.Patch.To)
+		}
+		c.Config, c.Patch = config, nil
+	}
+	return nil
+}
+
 // missing returns removals for what the state holds and a full delta does not list.
 func (s *State) missing(d Delta) []Change {
 	listed := make(map[string]bool, len(d.Changes))
@@ -138,11 +174,15 @@
 		return false
 	}
 	switch {
+	case c.Patch != nil:
+		return false
 	case c.Config != nil:
 		if s.config != nil && c.Config.Version <= s.config.Version {
 			return false
 		}
 		s.config = c.Config
+		s.configs = append(s.configs, c.Config)
+		s.configs = s.configs[max(0, len(s.configs)-keptConfigs):]
 	case c.Server != nil:
 		s.servers[c.Server.ID] = &entry{Server: *c.Server, seen: now}
 	case c.Removed != "":
@@ -193,24 +233,41 @@
 	}
 }
 
-// Since returns the changes after a revision, or the full state when they are no longer kept.
-func (s *State) Since(revision uint64) Delta {
-	if revision == 0 || revision < s.logStart {
-		return s.full()
+// Since returns the changes after a position, or the full state when they are no longer kept.
+func (s *State) Since(p Position) Delta {
+	if p.Revision == 0 || p.Revision < s.logStart {
+		d := s.full()
+		s.pack(&d, p.Version)
+		return d
 	}
-	d := Delta{From: revision, To: max(revision, s.revision)}
+	d := Delta{From: p.Revision, To: max(p.Revision, s.revision)}
 	for i := range s.log {
-		if s.log[i].to > revision {
-			d.Changes = append(d.Changes, s.log[i].change)
+		// Only the newest configuration matters.
+		if c := &s.log[i].change; s.log[i].to > p.Revision && (c.Config == nil || c.Config == s.config) {
+			d.Changes = append(d.Changes, *c)
 		}
 	}
+	s.pack(&d, p.Version)
 	return d
 }
 
+// pack replaces the configuration by the difference from that of a version, if that is kept.
+func (s *State) pack(d *Delta, version uint64) {
+	i := slices.IndexFunc(s.configs, func(c *table.Config) bool { return c.Version == version })
+	if i < 0 || s.configs[i] == s.config {
+		return
+	}
+	for k := range d.Changes {
+		if c := &d.Changes[k]; c.Config != nil {
+			c.Patch, c.Config = table.Diff(s.configs[i], c.Config), nil
+		}
+	}
+}
+
 func (s *State) full() Delta {
 	d := Delta{To: s.revision, Full: true}
 	if s.config != nil {
-		d.Changes = append(d.Changes, Change{Revision: s.revisions["config"], Config: s.config})
+		d.Changes = append(d.Changes, Change{Revision: s.revisions[keyConfig], Config: s.config})
 	}
 	for _, id := range sortedKeys(s.servers) {
 		e := s.servers[id]
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -14,16 +14,24 @@
 	revision uint64
 	// confirmed is the last time at which this node's copy was known to be current.
 	confirmed time.Time
-	wanted    uint64
-	wantedAt  time.Time
+	// wanted is the newest revision that was heard of, and wantedConfirmed the time at which it was
+	// known to be current.
+	wanted          uint64
+	wantedAt        time.Time
+	wantedConfirmed time.Time
 }
 
-// SetFeed tells the node the revision of its copy and how long ago it was known to be current, and
-// tells the neighbours at once when the revision is new.
-func (n *Node) SetFeed(now time.Time, revision uint64, age time.Duration) []Output {
+// SetFeed tells the node the revision of its copy, and whether the copy was just read from the
+// platform. It tells the neighbours at once when the revision is new.
+func (n *Node) SetFeed(now time.Time, revision uint64, read bool) []Output {
 	n.see(now)
 	f := &n.feed
-	f.confirmed = later(f.confirmed, n.now.Add(-age))
+	if read {
+		f.confirmed = n.now
+	}
+	if revision >= f.wanted {
+		f.confirmed = later(f.confirmed, f.wantedConfirmed)
+	}
 	if revision > f.revision {
 		f.revision = revision
 		n.flush()
@@ -46,12 +54,17 @@
 	if e := n.edge(from); e != nil {
 		e.revision = max(e.revision, m.Revision)
 	}
+	var confirmed time.Time
+	if m.Age > 0 {
+		confirmed = n.now.Add(-time.Duration(m.Age) * time.Millisecond)
+	}
 	if m.Revision <= f.revision {
-		if m.Age > 0 {
-			f.confirmed = later(f.confirmed, n.now.Add(-time.Duration(m.Age)*time.Millisecond))
-		}
+		f.confirmed = later(f.confirmed, confirmed)
 		return
 	}
+	if m.Revision >= f.wanted {
+		f.wantedConfirmed = later(f.wantedConfirmed, confirmed)
+	}
 	if m.Revision <= f.wanted && n.now.Sub(f.wantedAt) < feedPullEvery {
 		return
 	}
--- a/node/install.go
+++ b/node/install.go
@@ -16,7 +16,13 @@
 	return n.feed.Revision()
 }
 
-func (n *Node) feedSince(after uint64) feed.Delta {
+func (n *Node) position() feed.Position {
+	n.feedMu.Lock()
+	defer n.feedMu.Unlock()
+	return n.feed.Position()
+}
+
+func (n *Node) feedSince(after feed.Position) feed.Delta {
 	n.feedMu.Lock()
 	defer n.feedMu.Unlock()
 	return n.feed.Since(after)
@@ -27,7 +33,11 @@
 	if d.Full && d.To == 0 {
 		return errNoFeed
 	}
-	return n.apply(time.Now(), d, "peer")
+	if err := n.apply(time.Now(), d, "peer"); err != nil {
+		return err
+	}
+	n.peer.SetFeed(n.revision(), false)
+	return nil
 }
 
 // apply takes over changes and puts them in force.
--- a/node/node.go
+++ b/node/node.go
@@ -78,8 +78,10 @@
 			MaxAnswer: s.Limits.AnswerBytes, Headers: c.Headers, Logger: c.Log,
 		}),
 		feed: feed.NewState(), splitter: table.NewSplitter(),
-		reader: feed.NewReader(time.Now(), isSeed(s)),
-		calls:  make(map[gather.JobID]*call), attempts: make(map[gather.AttemptID]context.CancelFunc),
+		reader: feed.NewReader(feed.ReaderConfig{
+			Started: time.Now(), Seed: isSeed(s), ApplyTime: s.Bounds.ApplyTime.Std(),
+		}),
+		calls: make(map[gather.JobID]*call), attempts: make(map[gather.AttemptID]context.CancelFunc),
 		relays: make(map[gather.RelayID]context.CancelFunc),
 		engine: gather.New(gather.Config{
 			FailureDomain: s.FailureDomain, Seed: rand.Uint64(),
@@ -95,7 +97,7 @@
 			Weight: s.Capacity.Weight(),
 		},
 		Keys: s.Keys(), Heartbeat: heartbeat, Event: n.event, Log: c.Log,
-		Handlers: peer.Handlers{Feed: n.feedSince, Revision: n.revision, Fed: n.fed, Gather: n.gather},
+		Handlers: peer.Handlers{Feed: n.feedSince, Position: n.position, Fed: n.fed, Gather: n.gather},
 	})
 	if err != nil {
 		n.backend.Close()
--- a/node/read.go
+++ b/node/read.go
@@ -52,6 +52,9 @@
 	failures := n.reader.Failures()
 	n.reader.Succeed(now, &d)
 	n.feedMu.Unlock()
+	if p.Step == feed.Load {
+		n.log.Info("platform loaded", "Revision", d.To, "Changes", len(d.Changes))
+	}
 	if failures > 0 {
 		n.log.Info("platform is back", "Failures", failures)
 	}
@@ -59,7 +62,7 @@
 		n.log.Warn("data of the platform dropped", "Error", err)
 		return
 	}
-	n.peer.SetFeed(n.revision(), 0)
+	n.peer.SetFeed(n.revision(), true)
 }
 
 func (n *Node) readFailed(now time.Time, err error) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -78,10 +80,11 @@
 	return d, err
 }
 
-// Feed gets the changes after the revision of what the platform publishes.
-func (k *Client) Feed(ctx context.Context, to netip.AddrPort, after uint64) (feed.Delta, error) {
+// Feed gets the changes after a position of what the platform publishes.
+func (k *Client) Feed(ctx context.Context, to netip.AddrPort, after feed.Position) (feed.Delta, error) {
 	var d feed.Delta
-	err := k.do(ctx, to, http.MethodGet, pathFeed+"?after="+strconv.FormatUint(after, 10), nil, &d)
+	uri := fmt.Sprintf("%s?after=%d&config=%d", pathFeed, after.Revision, after.Version)
+	err := k.do(ctx, to, http.MethodGet, uri, nil, &d)
 	return d, err
 }
 
@@ -120,13 +123,16 @@
 	auth := sign(k.keys[0], time.Now(), method, peer, r.URL.RequestURI(), body)
 	r.Header.Set(wire.HeaderFleetAuth, auth)
 	r.Header.Set(wire.HeaderFleetProtocol, wire.FleetProtocol)
-	status, got, tag, err := k.roundTrip(r, t)
+	status, got, header, err := k.roundTrip(r, t)
 	if err != nil {
 		return k.fail(ctx, t, peer, err)
 	}
-	if !verifyResponse(k.keys, tag, auth, status, got) {
+	if !verifyResponse(k.keys, header.Get(wire.HeaderFleetAuth), auth, status, got) {
 		return wire.Uncertain(wire.StepRelay, peer, wire.ReasonPeer, "answer with status %d is not signed by a fleet key", status)
 	}
+	if got, err = expand(got, header.Get("Content-Encoding"), k.limit); err != nil {
+		return wire.Uncertain(wire.StepRelay, peer, wire.ReasonPeer, "expand answer: %v", err)
+	}
 	if status != http.StatusOK {
 		f := &wire.Failure{}
 		if err := jsonv2.Unmarshal(got, f); err != nil || f.Outcome == "" {
@@ -142,21 +148,37 @@
 }
 
 // roundTrip sends the request and reads the whole answer.
-func (k *Client) roundTrip(r *http.Request, t *trace) (status int, body []byte, tag string, err error) {
+func (k *Client) roundTrip(r *http.Request, t *trace) (status int, body []byte, header http.Header, err error) {
 	resp, err := k.transport.RoundTrip(r)
 	if err != nil {
-		return 0, nil, "", err
+		return 0, nil, nil, err
 	}
 	defer resp.Body.Close()
-	body, err = io.ReadAll(io.LimitReader(resp.Body, k.limit+1))
-	if err != nil {
-		return 0, nil, "", err
-	}
-	if int64(len(body)) > k.limit {
-		return 0, nil, "", errors.Newf("answer over %d bytes", k.limit)
+	if body, err = readLimited(resp.Body, k.limit); err != nil {
+		return 0, nil, nil, err
 	}
 	t.finish()
-	return resp.StatusCode, body, resp.Header.Get(wire.HeaderFleetAuth), nil
+	return resp.StatusCode, body, resp.Header, nil
+}
+
+func readLimited(r io.Reader, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errors.Newf("answer over %d bytes", limit)
+	}
+	return body, err
+}
+
+// expand undoes the content coding of an answer.
+func expand(body []byte, coding string, limit int64) ([]byte, error) {
+	if coding != "gzip" {
+		return body, nil
+	}
+	z, err := gzip.NewReader(bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	return readLimited(z, limit)
 }
 
 // fail classifies a request without an answer. A silent reused connection is replaced together with
--- a/peer/config.go
+++ b/peer/config.go
@@ -48,10 +48,11 @@
 	// Pulled decodes, checks and installs a document that was pulled from a peer; it should call
 	// Node.Install. When it fails for a change, the whole document is pulled.
 	Pulled func(Document) error
-	// Feed returns the changes after a revision of what the platform publishes, Revision that of
-	// this node's copy, and Fed takes over changes that were pulled from a peer.
-	Feed     func(after uint64) feed.Delta
-	Revision func() uint64
+	// Feed returns the changes after a position of what the platform publishes, Position that of
+	// this node's copy, and Fed takes over changes that were pulled from a peer. When it fails for
+	// changes, everything is pulled.
+	Feed     func(after feed.Position) feed.Delta
+	Position func() feed.Position
 	Fed      func(feed.Delta) error
 	// Gather serves a query of another node as a relay and sends the parts of the answer. An error
 	// before the first part says that nothing was sent to a server. It ends when the asking node
--- a/peer/node.go
+++ b/peer/node.go
@@ -255,10 +255,10 @@
 	n.do(func(now time.Time) []fleet.Output { return n.fleet.SetSeeds(now, seeds) })
 }
 
-// SetFeed tells the fleet the revision of this node's copy of what the platform publishes, and how
-// long ago the copy was known to be current.
-func (n *Node) SetFeed(revision uint64, age time.Duration) {
-	n.do(func(now time.Time) []fleet.Output { return n.fleet.SetFeed(now, revision, age) })
+// SetFeed tells the fleet the revision of this node's copy of what the platform publishes, and
+// whether it was just read from the platform.
+func (n *Node) SetFeed(revision uint64, read bool) {
+	n.do(func(now time.Time) []fleet.Output { return n.fleet.SetFeed(now, revision, read) })
 }
 
 // Leave announces a planned stop.
--- a/peer/pull.go
+++ b/peer/pull.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/cockroachdb/errors"
 )
@@ -76,9 +77,16 @@
 
 // pullFeed gets the changes of what the platform publishes that the peer has and this node has not.
 func (n *Node) pullFeed(ctx context.Context, e fleet.Event) error {
-	d, err := n.Feed(ctx, e.Peer, n.config.Handlers.Revision())
+	d, err := n.Feed(ctx, e.Peer, n.config.Handlers.Position())
 	if err != nil {
 		return err
 	}
+	if err = n.config.Handlers.Fed(d); err == nil {
+		return nil
+	}
+	n.config.Log.Info("peer: changes do not fit, pulling everything", "peer", e.Peer, "revision", d.To, "error", err)
+	if d, err = n.Feed(ctx, e.Peer, feed.Position{}); err != nil {
+		return err
+	}
 	return n.config.Handlers.Fed(d)
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -10,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
@@ -123,6 +125,10 @@
 			http.Error(w, "", http.StatusInternalServerError)
 			return
 		}
+		encoded, coding := compress(encoded)
+		if coding != "" {
+			w.Header().Set("Content-Encoding", coding)
+		}
 		tag := responseTag(n.config.Keys[0], r.Header.Get(wire.HeaderFleetAuth), status, encoded)
 		w.Header().Set(wire.HeaderFleetAuth, tag)
 		w.Header().Set(wire.HeaderFleetProtocol, wire.FleetProtocol)
@@ -168,14 +174,34 @@
 	return n.config.Handlers.Document(from, r.URL.Query().Get("hash"))
 }
 
-// answerFeed returns the changes after the revision that the peer names.
+// answerFeed returns the changes after the position that the peer names.
 func (n *Node) answerFeed(r *http.Request, _ []byte) (any, error) {
 	if n.config.Handlers.Feed == nil {
-		return nil, wire.Refuse(wire.StepReady, "", wire.ReasonNotFound, "this node has no feed")
+		return nil, n.refuse(wire.StepReady, wire.ReasonNotFound, "this node has no feed")
+	}
+	revision, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	if err != nil {
+		return nil, n.refuse(wire.StepDecode, wire.ReasonBadRequest, "after: %v", err)
 	}
-	after, err := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	version, err := strconv.ParseUint(r.FormValue("config"), 10, 64)
 	if err != nil {
-		return nil, wire.Refuse(wire.StepDecode, "", wire.ReasonBadRequest, "after: %v", err)
+		return nil, n.refuse(wire.StepDecode, wire.ReasonBadRequest, "config: %v", err)
+	}
+	return n.config.Handlers.Feed(feed.Position{Revision: revision, Version: version}), nil
+}
+
+// compressAbove is the size in bytes from which an answer is compressed. Small ones gain nothing.
+const compressAbove = 1 << 10
+
+// compress returns a body and its content coding, empty when it is not compressed.
+func compress(body []byte) ([]byte, string) {
+	if len(body) < compressAbove {
+		return body, ""
+	}
+	var b bytes.Buffer
+	z := gzip.NewWriter(&b)
+	if _, err := z.Write(body); err != nil || z.Close() != nil {
+		return body, ""
 	}
-	return n.config.Handlers.Feed(after), nil
+	return b.Bytes(), "gzip"
 }
