--- a/front/handler.go
+++ b/front/handler.go
@@ -87,7 +87,7 @@
 		},
 	}
 	if d := route.TargetLatency.Std(); d > 0 {
-		q.Target = now.Add(d - targetMargin(d))
+		q.Target = now.Add(d - targetMargin(r.Context(), d))
 	}
 	return q
 }
@@ -96,15 +96,28 @@
 	// answerMargin is the time before the deadline at which a request is answered, so that the
 	// answer arrives in time.
 	answerMargin = 5 * time.Millisecond
-	// minTargetMargin and targetShare give the time before the end of the response-time objective at
-	// which an answer with the parts that are in is sent: for the ways to the caller and back, and a
-	// new connection.
-	minTargetMargin = 12 * time.Millisecond
-	targetShare     = 0.12
+	// keptRoundTrips and firstRoundTrips are the round trips to a caller within its response-time
+	// objective: for the question for an address, the request with its answer, and on a new connection
+	// its opening.
+	keptRoundTrips  = 3
+	firstRoundTrips = 4
+	// minMargin and marginShare of the objective are for the work at the node.
+	minMargin   = 6 * time.Millisecond
+	marginShare = 0.05
+	// maxMarginShare bounds the margin for callers that are far away.
+	maxMarginShare = 0.6
 )
 
-func targetMargin(d time.Duration) time.Duration {
-	return max(minTargetMargin, time.Duration(targetShare*float64(d)))
+// targetMargin returns the time before the end of the response-time objective at which an answer with
+// the parts that are in is sent.
+func targetMargin(ctx context.Context, objective time.Duration) time.Duration {
+	rtt, first := roundTrip(ctx)
+	trips := keptRoundTrips
+	if first {
+		trips = firstRoundTrips
+	}
+	margin := time.Duration(trips)*rtt + max(minMargin, time.Duration(marginShare*float64(objective)))
+	return min(margin, time.Duration(maxMarginShare*float64(objective)))
 }
 
 // readBody reads the body of a request. It returns a status when the request exceeds a limit.
--- a/front/server.go
+++ b/front/server.go
@@ -47,7 +47,7 @@
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(h, w, r) }),
 		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: table.DefaultHeaderTimeout,
-		IdleTimeout: time.Hour, ConnState: s.changed,
+		IdleTimeout: time.Hour, ConnState: s.changed, ConnContext: withConn,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	return s
