feed: give nodes that are behind the full state after a full read

Cause: the property test of copies found that a node which had read the full state passed on changes from before it. An entry that came and went in between was never removed at the others. The log now begins at the full read.

--- /dev/null
+++ b/feed/reader_test.go
@@ -0,0 +1,115 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+var errDown = errors.New("platform is down")
+
+func newReader(seed bool) *Reader {
+	return NewReader(ReaderConfig{Started: epoch, Seed: seed, ApplyTime: 3 * time.Second})
+}
+
+// Guards against a fleet whose nodes all read the platform at their start.
+func TestOnlySeedsReadAtTheStart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	is.Equal(newReader(true).Plan(epoch, Input{}).Step, Load)
+	r := newReader(false)
+	is.Equal(r.Plan(epoch, Input{}).Step, Idle)
+	is.Equal(r.Plan(epoch.Add(JoinTime), Input{}).Step, Load) // no peer has answered
+	fresh := Input{Revision: 5, Known: true}
+	is.Equal(r.Plan(epoch.Add(time.Second), fresh).Step, Idle) // it may not know the others yet
+	is.Equal(r.Plan(epoch.Add(settleTime), fresh).Step, Watch)
+}
+
+// Guards against data that stays old when the readers are lost, and against all nodes that take over
+// at once.
+func TestOthersTakeOver(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newReader(false)
+	now := epoch.Add(time.Minute)
+	in := Input{Rank: 1, Revision: 5, Known: true, Age: 1800 * time.Millisecond}
+	is.Equal(r.Plan(now, in).Step, Idle)
+	in.Age += time.Millisecond
+	p := r.Plan(now, in)
+	is.Equal(p.Step, Watch)
+	is.Equal(p.After, uint64(5))
+	in.Rank = 2
+	is.Equal(r.Plan(now, in).Step, Idle)
+	in.Age += staleStep
+	is.Equal(r.Plan(now, in).Step, Watch)
+	is.True(r.stale+staleSteps*staleStep < 3*time.Second+staleSteps*staleStep) // the first takes over in time
+}
+
+// Guards against a platform that is asked without a pause while it is down.
+func TestBackoff(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newReader(true)
+	now := epoch
+	in := Input{Revision: 5}
+	var waits []time.Duration
+	for range 6 {
+		is.Equal(r.Plan(now, in).Step, Watch)
+		r.Fail(now, errDown, 1)
+		p := r.Plan(now, in)
+		is.Equal(p.Step, Idle)
+		waits = append(waits, p.Wait)
+		now = now.Add(p.Wait)
+	}
+	is.Equal(waits, []time.Duration{
+		100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond, time.Second, time.Second,
+	})
+}
+
+// Guards against a reader that asks again and again for changes that the platform has dropped.
+func TestReloadAfterDroppedHistory(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newReader(true)
+	in := Input{Revision: 5}
+	is.Equal(r.Plan(epoch, in).Step, Watch)
+	r.Fail(epoch, errors.Wrap(ErrGone, "watch"), 1)
+	is.Equal(r.Plan(epoch, in).Step, Load)
+	d := Delta{Full: true, To: 9}
+	r.Succeed(epoch, &d)
+	p := r.Plan(epoch, in)
+	is.Equal(p.Step, Watch)
+	is.Equal(p.After, uint64(9))
+}
+
+// Guards against servers that are dropped because the platform lost their entries while it was away.
+func TestRemovalsAfterAnOutageAreLapsed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newReader(true)
+	removal := func() Delta { return Delta{From: 1, To: 2, Changes: []Change{{Revision: 2, Removed: "a"}}} }
+	d := removal()
+	r.Succeed(epoch, &d)
+	is.True(!d.Changes[0].Lapsed)
+	r.Fail(epoch, errDown, 0)
+	d = removal()
+	r.Succeed(epoch.Add(time.Second), &d)
+	is.True(d.Changes[0].Lapsed)
+	is.True(d.Lapsed)
+	d = removal()
+	r.Succeed(epoch.Add(time.Second+returnTime+1), &d)
+	is.True(!d.Changes[0].Lapsed)
+}
+
+// Guards against a call for each of many changes in quick succession.
+func TestChangesAreBatched(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newReader(true)
+	d := Delta{From: 1, To: 2, Changes: []Change{{Revision: 2, Removed: "a"}}}
+	r.Succeed(epoch, &d)
+	is.Equal(r.Plan(epoch, Input{Revision: 2}), Plan{Step: Idle, Wait: batchTime})
+	is.Equal(r.Plan(epoch.Add(batchTime), Input{Revision: 2}).Step, Watch)
+}
--- a/feed/state.go
+++ b/feed/state.go
@@ -120,7 +120,9 @@
 			changed = true
 		}
 	}
-	if s.revision == 0 {
+	if d.Full {
+		// Entries that came and went before the full state was read are not in the log, so that a node
+		// which is behind must get the full state too.
 		s.logStart, s.log = d.To, nil
 	}
 	s.revision = max(s.revision, d.To)
