gather: refund only extra arrivals that were taken from the budget, count a relay as a server of its own

Cause: the property test of promises found four faults: a retry that was a first arrival and failed unsent gave back an extra arrival of another request, and a refund came from the newest bucket instead of its own (more retries than the budget in a window); a server that was taken off the list and came back was not known to be cold any more; a relay could reach a third server of a shard. Ruled out: the windows of the check (it compares each window with the requests in it, before it and half before it, as the rule does). A variant with a greater budget is caught. Tests of gather and place.

--- a/gather/budget.go
+++ b/gather/budget.go
@@ -23,8 +23,12 @@
 	last int64
 }
 
+func bucketOf(c *BudgetConfig, t time.Time) int64 {
+	return t.UnixNano() / int64(c.Window/bucketsPerWindow)
+}
+
 func (b *budget) slide(c *BudgetConfig, now time.Time) {
-	at := now.UnixNano() / int64(c.Window/bucketsPerWindow)
+	at := bucketOf(c, now)
 	if at <= b.last {
 		return
 	}
@@ -55,6 +59,8 @@
 		first += b.first[i]
 		extra += b.extra[i]
 	}
+	// The oldest bucket is in the window only in part.
+	first -= b.first[(b.last+1)%int64(len(b.first))]
 	if float64(extra+1) > c.Ratio*float64(first)+c.Slack/float64(nodes) {
 		return false
 	}
@@ -62,9 +68,13 @@
 	return true
 }
 
-// refund gives back an extra arrival that did not reach a server.
-func (b *budget) refund() {
-	if i := b.last % int64(len(b.extra)); b.extra[i] > 0 {
+// refund gives back an extra arrival of the given time that did not reach a server.
+func (b *budget) refund(c *BudgetConfig, spent time.Time) {
+	if c.Window <= 0 {
+		return
+	}
+	at := bucketOf(c, spent)
+	if i := at % int64(len(b.extra)); at > b.last-int64(len(b.extra)) && b.extra[i] > 0 {
 		b.extra[i]--
 	}
 }
--- a/gather/engine.go
+++ b/gather/engine.go
@@ -26,6 +26,8 @@
 	rand    *rand.Rand
 	pools   map[string]*pool
 	servers map[string]*server
+	// absent are servers that were taken off the list a short time ago.
+	absent  map[string]*server
 	classes map[string]*class
 	jobs    map[JobID]*job
 	// attempts maps the attempts that have not ended, also those of jobs that have.
@@ -44,8 +46,9 @@
 func New(c Config) *Engine {
 	return &Engine{
 		config: c, rand: rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15)),
-		pools: make(map[string]*pool), servers: make(map[string]*server), classes: make(map[string]*class),
-		jobs: make(map[JobID]*job), attempts: make(map[AttemptID]*attempt), nodes: 1,
+		pools: make(map[string]*pool), servers: make(map[string]*server), absent: make(map[string]*server),
+		classes: make(map[string]*class),
+		jobs:    make(map[JobID]*job), attempts: make(map[AttemptID]*attempt), nodes: 1,
 		relayCalls: make(map[RelayID]*relayCall),
 	}
 }
--- a/gather/finish.go
+++ b/gather/finish.go
@@ -37,13 +37,13 @@
 			continue
 		}
 		s := e.choose(now, j, t.pool, t)
-		if s != nil && !s.ejected(now) && t.pool.budget.spend(&e.config.Budget, now, e.nodes) {
+		if s != nil && !s.ejected(now) && e.afford(now, t) {
 			due = append(due, t)
 		}
 	}
 	for _, t := range e.sendRelayed(now, j, due, Hedge, act) {
 		if s := e.choose(now, j, t.pool, t); s != nil {
-			e.send(now, j, t, s, Hedge, act)
+			e.send(now, t, s, Hedge, act)
 		}
 	}
 }
--- a/gather/job.go
+++ b/gather/job.go
@@ -79,6 +79,8 @@
 	canceled bool
 	endedAt  time.Time
 	class    Class
+	// extra means that the attempt was taken out of the budget.
+	extra bool
 	// givenUp means that the attempt was cut off because its server does not answer anything.
 	givenUp bool
 	// clean means that the attempt has ended and has reached no server, mayHaveRun that a server may
@@ -183,17 +185,25 @@
 		j.lose(t, "no server of "+t.pool.name+" has room", act)
 	case s == nil:
 		e.wait(t, time.Time{})
-	case p == Retry && !t.isUnsent() && !t.pool.budget.spend(&e.config.Budget, now, e.nodes):
+	case !e.afford(now, t):
 		e.wait(t, now.Add(budgetPause))
 	default:
-		e.send(now, j, t, s, p, act)
+		e.send(now, t, s, p, act)
 		t.hedgeAt = e.hedgeTime(now, j)
 	}
 }
 
-func (e *Engine) send(now time.Time, j *job, t *task, s *server, p Purpose, act *Actions) {
+// afford reports whether the task may be sent, and takes an extra arrival out of the budget unless it
+// is the first.
+func (e *Engine) afford(now time.Time, t *task) bool {
+	return t.isUnsent() || t.pool.budget.spend(&e.config.Budget, now, e.nodes)
+}
+
+// send sends a task that the engine can afford.
+func (e *Engine) send(now time.Time, t *task, s *server, p Purpose, act *Actions) {
 	e.lastSent++
-	a := &attempt{id: e.lastSent, job: j, task: t, server: s, domain: s.FailureDomain, purpose: p, sentAt: now}
+	j := t.job
+	a := &attempt{id: e.lastSent, job: j, task: t, extra: !t.isUnsent(), server: s, domain: s.FailureDomain, purpose: p, sentAt: now}
 	e.attempts[a.id] = a
 	t.attempts = append(t.attempts, a)
 	s.open = append(s.open, a)
@@ -216,11 +226,7 @@
 	a.server.drop(a)
 	e.learn(now, a, r, &act)
 	j, t := a.job, a.task
-	if a.mayHaveRun {
-		j.sent = true
-	} else if a.purpose != Primary && a.clean {
-		t.pool.budget.refund()
-	}
+	e.settle(a)
 	e.dispatch(now, a.server.pool, &act)
 	if e.jobs[j.id] != j || t.answered || t.lost {
 		return act
@@ -238,6 +244,15 @@
 	return act
 }
 
+// settle records whether a server may have run an attempt, and gives back what it has not used of the
+// budget.
+func (e *Engine) settle(a *attempt) {
+	a.job.sent = a.job.sent || a.mayHaveRun
+	if a.extra && a.clean {
+		a.task.pool.budget.refund(&e.config.Budget, a.sentAt)
+	}
+}
+
 // isFinal reports whether an answer that is not a success is what the caller of a request with one
 // shard gets. A fault of the server is, when no other attempt is in flight and none is allowed.
 func (e *Engine) isFinal(now time.Time, t *task, c Class) bool {
@@ -345,21 +360,31 @@
 // mayReach reports whether the task may be sent to the server: to as many servers as the request
 // allows, and again to one of them when the last attempt there is some time past.
 func (t *task) mayReach(now time.Time, s *server) bool {
-	reached, again := 0, false
-	seen := make(map[*server]bool, len(t.attempts))
+	again := false
 	for _, a := range t.attempts {
-		if a.server == s || a.relay != nil && a.domain == s.FailureDomain {
-			if !a.ended || now.Sub(a.endedAt) < againPause {
-				return false
-			}
-			again = again || a.mayHaveRun
+		if a.server != s && (a.relay == nil || a.domain != s.FailureDomain) {
+			continue
+		}
+		if !a.ended || now.Sub(a.endedAt) < againPause {
+			return false
 		}
+		again = again || a.server == s && a.mayHaveRun
+	}
+	return again || t.mayReachNew()
+}
+
+// mayReachNew reports whether the task may be sent to one more server. Which one a relay has used is
+// not known, so that it counts as another one.
+func (t *task) mayReachNew() bool {
+	reached := 0
+	seen := make(map[*server]bool, len(t.attempts))
+	for _, a := range t.attempts {
 		if (!a.ended || a.mayHaveRun) && (a.server == nil || !seen[a.server]) {
 			seen[a.server] = true
 			reached++
 		}
 	}
-	return again || reached < t.job.MaxAttempts
+	return reached < t.job.MaxAttempts
 }
 
 // againPause is the time after which a task may be sent to a server once more that has not answered
--- /dev/null
+++ b/gather/merge_test.go
@@ -0,0 +1,61 @@
+package gather
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// Guards against records that are lost, repeated or out of order, and against remainders that count as
+// records.
+func TestTopK(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		record := rapid.SliceOfN(rapid.ByteRange(0, 3), RecordSize, RecordSize)
+		var parts [][]byte
+		var all [][]byte
+		for range rapid.IntRange(0, 4).Draw(t, "parts") {
+			var part []byte
+			for _, r := range rapid.SliceOfN(record, 0, 6).Draw(t, "records") {
+				part = append(part, r...)
+				all = append(all, r)
+			}
+			part = append(part, make([]byte, rapid.IntRange(0, RecordSize-1).Draw(t, "remainder"))...)
+			parts = append(parts, part)
+		}
+		k := rapid.IntRange(0, 12).Draw(t, "k")
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		want := bytes.Join(all[:min(k, len(all))], nil)
+		if got := TopK(parts, k); !bytes.Equal(got, want) {
+			t.Fatalf("got %x, want %x", got, want)
+		}
+	})
+}
+
+// Guards against a relay whose merged part changes the answer: the greatest records of some parts
+// stand for these parts.
+func TestTopKOfMergedParts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	part := func(seed byte) []byte {
+		var b []byte
+		for i := range byte(10) {
+			r := make([]byte, RecordSize)
+			r[0] = i*7 + seed
+			b = append(b, r...)
+		}
+		return b
+	}
+	a, b, c := part(1), part(2), part(3)
+	is.Equal(TopK([][]byte{TopK([][]byte{a, b}, 5), c}, 5), TopK([][]byte{a, b, c}, 5))
+}
+
+func ExampleTopK() {
+	parts := [][]byte{[]byte("record-000000001record-000000009"), []byte("record-000000005")}
+	fmt.Println(string(TopK(parts, 2)))
+	// Output: record-000000009record-000000005
+}
--- /dev/null
+++ b/gather/property_test.go
@@ -0,0 +1,341 @@
+package gather
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// history drives an engine with drawn events and keeps what the promises need.
+type history struct {
+	*rapid.T
+	engine *Engine
+	now    time.Time
+	budget BudgetConfig
+	nodes  int
+
+	open      map[AttemptID]Send
+	sentAt    map[AttemptID]time.Time
+	relays    map[RelayID]RelaySend
+	relayedAt map[RelayID]time.Time
+	jobs      map[JobID]*jobHistory
+	// first are the times of requests by pool, and arrivals those of sends by server.
+	first    map[string][]time.Time
+	arrivals map[string][]time.Time
+}
+
+type jobHistory struct {
+	request  Request
+	finished bool
+	// reached holds the servers that may have run each shard.
+	reached []map[string]bool
+	// sends are the times at which each shard was sent, without those that reached no server.
+	sends [][]time.Time
+}
+
+var poolNames = []string{"a", "b", "c"}
+
+func newHistory(t *rapid.T) *history {
+	h := &history{
+		T: t, now: epoch, nodes: rapid.IntRange(1, 4).Draw(t, "nodes"),
+		budget: BudgetConfig{Ratio: 0.2, Slack: rapid.Float64Range(0, 12).Draw(t, "slack"), Window: 10 * time.Second},
+		open:   make(map[AttemptID]Send), sentAt: make(map[AttemptID]time.Time),
+		relays: make(map[RelayID]RelaySend), relayedAt: make(map[RelayID]time.Time), jobs: make(map[JobID]*jobHistory),
+		first: make(map[string][]time.Time), arrivals: make(map[string][]time.Time),
+	}
+	h.engine = New(Config{FailureDomain: here, Budget: h.budget, Seed: rapid.Uint64().Draw(t, "seed")})
+	h.engine.SetNodes(h.nodes)
+	h.engine.SetRelays([]Relay{{Address: netip.MustParseAddrPort("127.0.0.1:7"), FailureDomain: there}})
+	h.setPools()
+	return h
+}
+
+// setPools draws which servers exist and which of them leave.
+func (h *history) setPools() {
+	var pools []Pool
+	for _, name := range poolNames {
+		p := Pool{Name: name}
+		for i, domain := range []string{here, there, "chiayi"} {
+			if rapid.IntRange(0, 5).Draw(h.T, "exists") == 0 {
+				continue
+			}
+			s := testServer(fmt.Sprintf("%s%d", name, i), domain)
+			s.Draining = rapid.IntRange(0, 5).Draw(h.T, "leaves") == 0
+			s.ColdRate = 8
+			if rapid.IntRange(0, 3).Draw(h.T, "cold") == 0 {
+				s.ColdUntil = h.now.Add(3 * time.Second)
+			}
+			p.Servers = append(p.Servers, s)
+		}
+		pools = append(pools, p)
+	}
+	h.take(0, h.engine.SetPools(h.now, pools))
+}
+
+func (h *history) submit() {
+	r := Request{
+		Class: "r", Pools: poolNames[:rapid.IntRange(1, len(poolNames)).Draw(h.T, "shards")],
+		Idempotent: rapid.Bool().Draw(h.T, "idempotent"), MinCoverage: 0.5, MaxAttempts: rapid.IntRange(1, 3).Draw(h.T, "attempts"),
+		Deadline: h.now.Add(time.Second), Target: h.now.Add(90 * time.Millisecond), Relayable: rapid.Bool().Draw(h.T, "relayable"),
+	}
+	if len(r.Pools) > 1 {
+		r.Idempotent = true
+	}
+	r.Relayable = r.Relayable && r.Idempotent
+	id, act := h.engine.Submit(h.now, r)
+	j := &jobHistory{request: r, reached: make([]map[string]bool, len(r.Pools)), sends: make([][]time.Time, len(r.Pools))}
+	for i := range j.reached {
+		j.reached[i] = make(map[string]bool)
+		if act.Finished == nil || act.Finished.End != Refused {
+			h.first[r.Pools[i]] = append(h.first[r.Pools[i]], h.now)
+		}
+	}
+	h.jobs[id] = j
+	h.take(id, act)
+}
+
+// take checks actions and carries them out.
+func (h *history) take(id JobID, act Actions) {
+	for _, s := range act.Sends {
+		h.checkSend(s)
+		h.open[s.Attempt], h.sentAt[s.Attempt] = s, h.now
+	}
+	for _, s := range act.Relays {
+		j := h.jobs[s.Job]
+		if !j.request.Relayable || j.finished {
+			h.Fatalf("job %d is relayed", s.Job)
+		}
+		for _, i := range s.Tasks {
+			h.arrive(j, i, "relay")
+		}
+		h.relays[s.Relay], h.relayedAt[s.Relay] = s, h.now
+	}
+	if act.Finished != nil {
+		j := h.jobs[id]
+		if j.finished {
+			h.Fatalf("job %d ends twice", id)
+		}
+		j.finished = true
+		if f := act.Finished; !f.Sent && f.End != Complete && f.End != Partial {
+			for _, reached := range j.reached {
+				if len(reached) > 0 {
+					h.Fatalf("job %d is said not to have run, but %v may have run it", id, reached)
+				}
+			}
+		}
+	}
+}
+
+func (h *history) checkSend(s Send) {
+	j := h.jobs[s.Job]
+	switch {
+	case j.finished:
+		h.Fatalf("job %d is sent after its end", s.Job)
+	case s.Server.Draining:
+		h.Fatalf("server %s leaves and gets job %d", s.Server.ID, s.Job)
+	case !h.now.Before(s.Deadline):
+		h.Fatalf("job %d is sent after its deadline", s.Job)
+	case !j.request.Idempotent && len(j.reached[s.Task]) > 0:
+		h.Fatalf("job %d may have run on %v and is sent to %s", s.Job, j.reached[s.Task], s.Server.ID)
+	}
+	h.arrive(j, s.Task, s.Server.ID)
+	at := append(h.arrivals[s.Server.ID], h.now)
+	h.arrivals[s.Server.ID] = at
+	if h.now.Before(s.Server.ColdUntil) {
+		recent := 0
+		for _, t := range at {
+			if h.now.Sub(t) < time.Second {
+				recent++
+			}
+		}
+		if float64(recent) > s.Server.ColdRate/float64(h.nodes) {
+			h.Fatalf("cold server %s gets %d requests in a second", s.Server.ID, recent)
+		}
+	}
+}
+
+// arrive counts a send that may arrive at a server.
+func (h *history) arrive(j *jobHistory, task int, server string) {
+	j.reached[task][server] = true
+	if len(j.reached[task]) > j.request.MaxAttempts {
+		h.Fatalf("a shard may run on %v, %d are allowed", j.reached[task], j.request.MaxAttempts)
+	}
+	j.sends[task] = append(j.sends[task], h.now)
+}
+
+// leave takes back a send of a time that has reached no server.
+func (h *history) leave(j *jobHistory, task int, server string, sent time.Time) {
+	delete(j.reached[task], server)
+	i := slices.IndexFunc(j.sends[task], sent.Equal)
+	j.sends[task] = slices.Delete(j.sends[task], i, i+1)
+}
+
+func (h *history) end() {
+	ids := sorted(h.open)
+	if len(ids) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(ids).Draw(h.T, "attempt")
+	s := h.open[id]
+	delete(h.open, id)
+	c := rapid.SampledFrom([]Class{
+		OK, OK, OK, Answered, ServerError, NotRun, OtherServer, Unsent, Busy, Full, Broken, TimedOut,
+	}).Draw(h.T, "class")
+	j := h.jobs[s.Job]
+	switch c {
+	case Unsent, Busy, Full:
+		h.leave(j, s.Task, s.Server.ID, h.sentAt[id])
+	case NotRun, OtherServer:
+		delete(j.reached[s.Task], s.Server.ID)
+	}
+	act := h.engine.Done(h.now, id, Result{Class: c, Latency: 10 * time.Millisecond})
+	if act.Accepted && j.finished {
+		h.Fatalf("an answer to job %d is accepted after its end", s.Job)
+	}
+	h.take(s.Job, act)
+}
+
+func (h *history) relayEvent() {
+	ids := sorted(h.relays)
+	if len(ids) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(ids).Draw(h.T, "relay")
+	s := h.relays[id]
+	j := h.jobs[s.Job]
+	if rapid.Bool().Draw(h.T, "ends") {
+		delete(h.relays, id)
+		c := rapid.SampledFrom([]Class{Unsent, Broken, TimedOut}).Draw(h.T, "class")
+		if c == Unsent {
+			for _, i := range s.Tasks {
+				if j.reached[i]["relay"] {
+					h.leave(j, i, "relay", h.relayedAt[id])
+				}
+			}
+		}
+		h.take(s.Job, h.engine.RelayEnd(h.now, id, Result{Class: c}))
+		return
+	}
+	var p RelayPart
+	for _, i := range s.Tasks {
+		switch rapid.IntRange(0, 3).Draw(h.T, "part") {
+		case 0:
+			p.Answered = append(p.Answered, i)
+			p.Latencies = append(p.Latencies, 10*time.Millisecond)
+		case 1:
+			p.Failed = append(p.Failed, i)
+		}
+	}
+	h.take(s.Job, h.engine.RelayDone(h.now, id, p))
+}
+
+func (h *history) tick() {
+	for _, id := range sorted(h.jobs) {
+		j := h.jobs[id]
+		if wake := h.engine.NextWake(h.now, id); !j.finished && !wake.IsZero() && !wake.After(h.now) {
+			h.take(id, h.engine.Tick(h.now, id))
+		}
+	}
+}
+
+// checkBudget looks at all windows: the extra arrivals in each are within what this node may add.
+func (h *history) checkBudget(b BudgetConfig) string {
+	for pool, extra := range h.extras() {
+		first := h.first[pool]
+		for i, from := range extra {
+			to, half := from.Add(b.Window), b.Window/2
+			inside := count(extra[i:], from, to)
+			most := max(count(first, from, to), count(first, from.Add(-b.Window), from), count(first, from.Add(-half), to.Add(-half)))
+			if limit := b.Ratio*float64(most) + b.Slack/float64(h.nodes); float64(inside) > limit+1e-9 {
+				return fmt.Sprintf("pool %s gets %d extra arrivals after %v, %.2f are allowed", pool, inside, from, limit)
+			}
+		}
+	}
+	return ""
+}
+
+// extras returns the times of all sends of a shard but its first, by pool and in order.
+func (h *history) extras() map[string][]time.Time {
+	extra := make(map[string][]time.Time)
+	for _, j := range h.jobs {
+		for i, sends := range j.sends {
+			if len(sends) > 1 {
+				extra[j.request.Pools[i]] = append(extra[j.request.Pools[i]], sends[1:]...)
+			}
+		}
+	}
+	for _, times := range extra {
+		slices.SortFunc(times, time.Time.Compare)
+	}
+	return extra
+}
+
+func count(times []time.Time, from, to time.Time) int {
+	n := 0
+	for _, t := range times {
+		if !t.Before(from) && t.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+func sorted[K ~uint64, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+func (h *history) run() {
+	for range rapid.IntRange(1, 150).Draw(h.T, "events") {
+		switch rapid.IntRange(0, 9).Draw(h.T, "event") {
+		case 0, 1, 2:
+			h.submit()
+		case 3, 4, 5:
+			h.end()
+		case 6:
+			h.relayEvent()
+		case 7:
+			h.now = h.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(h.T, "ms")) * time.Millisecond)
+			h.tick()
+		case 8:
+			h.setPools()
+		case 9:
+			if ids := sorted(h.jobs); len(ids) > 0 {
+				id := rapid.SampledFrom(ids).Draw(h.T, "job")
+				h.take(id, h.engine.Abandon(id))
+				h.jobs[id].finished = true
+			}
+		}
+	}
+}
+
+// Guards, over any history, against a shard on more servers than allowed, a request that runs twice,
+// a false "not run", work after the end or for servers that leave, a cold server above its rate, and
+// extra arrivals above the budget.
+func TestPromises(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHistory(t)
+		h.run()
+		if fault := h.checkBudget(h.budget); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
+
+// Guards against a check of the budget that cannot fail: an engine with a greater one is caught.
+func TestBudgetCheckCatchesAGreaterBudget(t *testing.T) {
+	t.Parallel()
+	caught := false
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHistory(t)
+		h.engine.config.Budget.Ratio, h.engine.config.Budget.Slack = 1, h.budget.Slack+8
+		h.run()
+		caught = caught || h.checkBudget(h.budget) != ""
+	})
+	if !caught {
+		t.Fatal("no history shows the greater budget")
+	}
+}
--- a/gather/relay.go
+++ b/gather/relay.go
@@ -101,26 +101,22 @@
 		return tasks
 	}
 	for {
-		domain, group := e.largestGroup(now, j, tasks)
+		n, group := e.largestGroup(now, j, tasks)
 		if len(group) < minRelayed {
 			return tasks
 		}
-		n := e.relayFor(now, j, domain)
-		if n == nil {
-			return tasks
-		}
 		e.sendRelay(now, j, n, group, p, act)
 		tasks = slices.DeleteFunc(tasks, func(t *task) bool { return slices.Contains(group, t) })
 	}
 }
 
-// largestGroup returns the failure domain that has good servers of the most tasks that have none in
-// the domain of this node, and these tasks.
-func (e *Engine) largestGroup(now time.Time, j *job, tasks []*task) (string, []*task) {
+// largestGroup returns the relay whose failure domain has good servers of the most tasks that are best
+// served in other domains than that of this node, and these tasks.
+func (e *Engine) largestGroup(now time.Time, j *job, tasks []*task) (*relayNode, []*task) {
 	groups := make(map[string][]*task)
 	for _, t := range tasks {
 		best := e.choose(now, j, t.pool, t)
-		if best == nil || best.FailureDomain == e.config.FailureDomain {
+		if best == nil || !t.mayReachNew() || best.FailureDomain == e.config.FailureDomain {
 			continue
 		}
 		limit := relayTolerance * e.score(now, j, best)
@@ -134,14 +130,18 @@
 			}
 		}
 	}
-	best := ""
-	for domain, g := range groups {
-		switch n := len(groups[best]); {
-		case len(g) > n, len(g) == n && e.rand.IntN(2) == 0:
-			best = domain
+	var best *relayNode
+	var largest []*task
+	for _, domain := range slices.Sorted(maps.Keys(groups)) {
+		g := groups[domain]
+		if len(g) < len(largest) || len(g) == len(largest) && e.rand.IntN(2) == 0 {
+			continue
+		}
+		if n := e.relayFor(now, j, domain); n != nil {
+			best, largest = n, g
 		}
 	}
-	return best, groups[best]
+	return best, largest
 }
 
 // relayTolerance is how much worse than the best a server may be that is reached together with
@@ -154,7 +154,7 @@
 	e.relayCalls[r.id] = r
 	s := RelaySend{Relay: r.id, Job: j.id, Address: n.Address, Deadline: j.Deadline, ReplyAt: e.replyAt(now, j, p)}
 	for _, t := range group {
-		a := &attempt{job: j, task: t, relay: r, domain: n.FailureDomain, purpose: p, sentAt: now}
+		a := &attempt{job: j, task: t, relay: r, domain: n.FailureDomain, purpose: p, sentAt: now, extra: !t.isUnsent()}
 		t.attempts = append(t.attempts, a)
 		if p == Primary {
 			t.hedgeAt = e.hedgeTime(now, j)
@@ -299,7 +299,7 @@
 func (e *Engine) failRelayed(now time.Time, r *relayCall, a *attempt, res Result, act *Actions) {
 	e.endRelayed(now, r, a, res)
 	j, t := a.job, a.task
-	j.sent = j.sent || a.mayHaveRun
+	e.settle(a)
 	if e.jobs[j.id] == j && !t.answered && !t.lost {
 		e.afterFailure(now, t, res, act)
 	}
--- a/gather/server.go
+++ b/gather/server.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 
@@ -64,8 +65,14 @@
 	window int
 	// fullUntil is set when the server has refused a request.
 	fullUntil time.Time
+	// absentSince is when the server was last taken off the list.
+	absentSince time.Time
 }
 
+// absentTime is how long a server that is no longer listed is remembered. Entries may lapse and come
+// back while the server lives.
+const absentTime = time.Minute
+
 // SetPools makes the engine use exactly these pools and servers. Requests in flight go on, and those
 // that wait may be sent.
 func (e *Engine) SetPools(now time.Time, pools []Pool) Actions {
@@ -79,15 +86,26 @@
 		p.servers = p.servers[:0:0]
 		for _, v := range c.Servers {
 			s := e.servers[v.ID]
+			if s == nil {
+				s = e.absent[v.ID]
+			}
 			if s == nil || s.Address != v.Address {
 				s = &server{}
 			}
+			delete(e.absent, v.ID)
 			s.update(v, p)
 			servers[v.ID] = s
 			p.servers = append(p.servers, s)
 		}
 		next[c.Name] = p
 	}
+	for id, s := range e.servers {
+		if servers[id] == nil {
+			s.absentSince = now
+			e.absent[id] = s
+		}
+	}
+	maps.DeleteFunc(e.absent, func(_ string, s *server) bool { return now.Sub(s.absentSince) > absentTime })
 	e.pools, e.servers = next, servers
 	var act Actions
 	for _, p := range next {
--- a/gather/wait.go
+++ b/gather/wait.go
@@ -55,12 +55,12 @@
 			if s == nil {
 				return
 			}
-			if !t.isUnsent() && !p.budget.spend(&e.config.Budget, now, e.nodes) {
-				t.retryAt = now.Add(budgetPause)
-			} else {
+			if e.afford(now, t) {
 				t.waiting = false
-				e.send(now, t.job, t, s, t.purpose(), act)
+				e.send(now, t, s, t.purpose(), act)
 				t.hedgeAt = e.hedgeTime(now, t.job)
+			} else {
+				t.retryAt = now.Add(budgetPause)
 			}
 		}
 		p.waiting = p.waiting[1:]
--- a/place/place.go
+++ b/place/place.go
@@ -35,9 +35,9 @@
 const (
 	// partCost, relayCost and answerCost are the bytes that cross between failure domains when one
 	// part does, when a relay merges several, and when the answer to a caller does. Parts have about
-	// 1,250 bytes with their headers, the others about 1,700.
+	// 1,250 bytes with their headers, answers 1,700, and a relay needs a query besides.
 	partCost   = 1.0
-	relayCost  = 1.4
+	relayCost  = 1.6
 	answerCost = 1.4
 	// crossRegionCost is the cost of an answer that crosses between regions. It is above that of
 	// all parts, since the round trip alone may take the response-time objective.
