--- /dev/null
+++ b/stand/routed.go
@@ -0,0 +1,409 @@
+package stand
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// RoutedConfig holds the settings of a RoutedServer.
+type RoutedConfig struct {
+	// ID is what requests must name as their target.
+	ID      string
+	Headers wire.Headers
+	// Slots is the number of requests that run at once; 0 means 2. Queue more wait, and the server
+	// sheds above that; 0 means Slots.
+	Slots, Queue int
+	// Connections is the number of open connections above which new ones are reset; 0 means 25.
+	Connections int
+	// Delay is the time that a request takes.
+	Delay time.Duration
+	// Records is the number of 16-byte records in an answer; 0 means 8.
+	Records int
+	Seed    uint64
+	Faults  RoutedFaults
+}
+
+// RoutedFaults are the faults of a RoutedServer. Shares are between 0 and 1.
+type RoutedFaults struct {
+	// Hang is the share of requests that are never answered, Break that of answers that end early,
+	// and Lose that of requests that run and whose connection is then reset.
+	Hang, Break, Lose float64
+	// Extra is the share of answers that are followed by another one, Unframed that of answers
+	// without a length, and Encoded that of answers with a content coding.
+	Extra, Unframed, Encoded float64
+	// Fail is the share of requests that are answered 500.
+	Fail float64
+	// Early answers requests with a body before it has been read.
+	Early bool
+	// Slow is added to the time that a request takes.
+	Slow time.Duration
+	// Cold is what the server says of its cold start.
+	Cold time.Duration
+}
+
+// RoutedRun is one request that a server has begun to run.
+type RoutedRun struct {
+	At        time.Time
+	RequestID string
+	Method    string
+	URI       string
+	Body      string
+	// Left is the time that the sender said to wait, and Canceled tells that it closed the
+	// connection before the answer.
+	Left     time.Duration
+	Canceled bool
+}
+
+// RoutedServer is the stand-in of a backend server that answers routed requests: any method and path,
+// with records as the body.
+type RoutedServer struct {
+	config   RoutedConfig
+	listener net.Listener
+	work     sync.WaitGroup
+
+	mu      sync.Mutex
+	rand    *rand.Rand
+	faults  RoutedFaults
+	id      string
+	slots   chan struct{}
+	waiting int
+	conns   map[net.Conn]bool
+	opened  int
+	runs    []*RoutedRun
+	shed    int
+	closed  bool
+}
+
+// NewRoutedServer listens on the address, with port 0 on a free port.
+func NewRoutedServer(address netip.AddrPort, c RoutedConfig) (*RoutedServer, error) {
+	c.Slots = orDefault(c.Slots, 2)
+	c.Queue = orDefault(c.Queue, c.Slots)
+	c.Connections = orDefault(c.Connections, 25)
+	c.Records = orDefault(c.Records, 8)
+	if c.Headers == (wire.Headers{}) {
+		c.Headers = wire.DefaultHeaders()
+	}
+	var lc net.ListenConfig
+	l, err := lc.Listen(context.Background(), "tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "stand: listen on %s", address)
+	}
+	s := &RoutedServer{
+		config: c, listener: l, rand: rand.New(rand.NewPCG(c.Seed, 1)), faults: c.Faults, id: c.ID,
+		slots: make(chan struct{}, c.Slots), conns: make(map[net.Conn]bool),
+	}
+	s.work.Go(s.accept)
+	return s, nil
+}
+
+// Address returns the listening address.
+func (s *RoutedServer) Address() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// SetFaults replaces all faults.
+func (s *RoutedServer) SetFaults(f RoutedFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// SetID makes another process of the server: requests for the former ID are misdirected.
+func (s *RoutedServer) SetID(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.id = id
+}
+
+// Runs returns what the server has begun to run.
+func (s *RoutedServer) Runs() []RoutedRun {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]RoutedRun, 0, len(s.runs))
+	for _, r := range s.runs {
+		list = append(list, *r)
+	}
+	return list
+}
+
+// Opened returns the number of connections that were accepted.
+func (s *RoutedServer) Opened() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opened
+}
+
+// ResetConnections resets all open connections.
+func (s *RoutedServer) ResetConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		reset(c)
+	}
+}
+
+// Close stops the server and cuts off its requests.
+func (s *RoutedServer) Close() {
+	s.mu.Lock()
+	s.closed = true
+	_ = s.listener.Close()
+	for c := range s.conns {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	s.work.Wait()
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (s *RoutedServer) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		full := len(s.conns) >= s.config.Connections
+		if !full && !s.closed {
+			s.conns[c] = true
+			s.opened++
+			s.work.Go(func() { s.serve(c) })
+		}
+		s.mu.Unlock()
+		if full {
+			reset(c)
+		}
+	}
+}
+
+func (s *RoutedServer) serve(c net.Conn) {
+	defer func() {
+		_ = c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		var body []byte
+		early := s.early() && r.ContentLength > 0
+		if !early {
+			if body, err = io.ReadAll(r.Body); err != nil {
+				return
+			}
+		}
+		if !s.answer(c, in, r, body) {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+	}
+}
+
+func (s *RoutedServer) early() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Early
+}
+
+// draws are the faults of one request.
+type draws struct {
+	RoutedFaults
+	hang, cut, lose, extra, unframed, encoded, fail bool
+}
+
+func (s *RoutedServer) draw() draws {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	hit := func(share float64) bool { return s.rand.Float64() < share }
+	return draws{
+		RoutedFaults: f, hang: hit(f.Hang), cut: hit(f.Break), lose: hit(f.Lose), extra: hit(f.Extra),
+		unframed: hit(f.Unframed), encoded: hit(f.Encoded), fail: hit(f.Fail),
+	}
+}
+
+// answer serves one request and reports whether the connection stays open.
+func (s *RoutedServer) answer(c net.Conn, in *bufio.Reader, r *http.Request, body []byte) bool {
+	names := &s.config.Headers
+	h := http.Header{}
+	h.Set(names.RequestID, r.Header.Get(names.RequestID))
+	s.mu.Lock()
+	id := s.id
+	s.mu.Unlock()
+	h.Set(names.Instance, id)
+	if target := r.Header.Get(names.Target); target != "" && target != id {
+		return s.write(c, r, http.StatusMisdirectedRequest, h, nil)
+	}
+	if !s.enter() {
+		h.Set(names.NotRun, "1")
+		return s.write(c, r, http.StatusServiceUnavailable, h, nil)
+	}
+	defer func() { <-s.slots }()
+	run := s.begin(r, body)
+	d := s.draw()
+	if !s.spend(c, in, run, d) || d.lose || d.hang {
+		reset(c)
+		return false
+	}
+	if d.Cold > 0 {
+		h.Set(names.ColdFor, strconv.FormatInt(d.Cold.Milliseconds(), 10))
+	}
+	if d.fail {
+		return s.write(c, r, http.StatusInternalServerError, h, nil)
+	}
+	return s.succeed(c, r, h, d)
+}
+
+// enter takes a slot, or a place in the queue until one is free.
+func (s *RoutedServer) enter() bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
+	s.mu.Lock()
+	if s.waiting >= s.config.Queue {
+		s.shed++
+		s.mu.Unlock()
+		return false
+	}
+	s.waiting++
+	s.mu.Unlock()
+	s.slots <- struct{}{}
+	s.mu.Lock()
+	s.waiting--
+	s.mu.Unlock()
+	return true
+}
+
+func (s *RoutedServer) begin(r *http.Request, body []byte) *RoutedRun {
+	names := &s.config.Headers
+	left, _ := strconv.Atoi(r.Header.Get(names.Timeout))
+	run := &RoutedRun{
+		At: time.Now(), RequestID: r.Header.Get(names.RequestID), Method: r.Method, URI: r.RequestURI,
+		Body: string(body), Left: time.Duration(left) * time.Millisecond,
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs = append(s.runs, run)
+	return run
+}
+
+// spend takes the time of a request. It reports false when the sender has closed the connection.
+func (s *RoutedServer) spend(c net.Conn, in *bufio.Reader, run *RoutedRun, d draws) bool {
+	wait := s.config.Delay + d.Slow
+	if d.hang {
+		wait = time.Minute
+	}
+	if wait <= 0 {
+		return true
+	}
+	_ = c.SetReadDeadline(time.Now().Add(wait))
+	_, err := in.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	var n net.Error
+	if err == nil || errors.As(err, &n) && n.Timeout() {
+		return true
+	}
+	s.mu.Lock()
+	run.Canceled = true
+	s.mu.Unlock()
+	return false
+}
+
+// Body returns the records that a server with the ID answers to a request.
+func Body(id, uri string, records int) []byte {
+	seed := rand.NewPCG(uint64(len(uri)), uint64(len(id)))
+	for _, b := range []byte(id + uri) {
+		seed = rand.NewPCG(seed.Uint64()+uint64(b), seed.Uint64())
+	}
+	body := make([]byte, 0, 16*records)
+	for range records {
+		body = binary.BigEndian.AppendUint64(body, seed.Uint64())
+		body = binary.BigEndian.AppendUint64(body, seed.Uint64())
+	}
+	return body
+}
+
+// Seal returns the seal of the answer of a server to a request.
+func Seal(id, requestID string) string { return "seal-" + id + "-" + requestID }
+
+func (s *RoutedServer) succeed(c net.Conn, r *http.Request, h http.Header, d draws) bool {
+	names := &s.config.Headers
+	id := h.Get(names.Instance)
+	body := Body(s.config.ID, r.RequestURI, s.config.Records)
+	h.Set(names.Seal, Seal(id, r.Header.Get(names.RequestID)))
+	if d.encoded {
+		h.Set("Content-Encoding", "gzip")
+	}
+	switch {
+	case d.cut:
+		return s.writeBroken(c, r, h, body)
+	case d.unframed:
+		return s.writeUnframed(c, h, body)
+	}
+	open := s.write(c, r, http.StatusOK, h, body)
+	if d.extra && open {
+		other := h.Clone()
+		other.Set(names.RequestID, "another")
+		return s.write(c, r, http.StatusOK, other, slices.Repeat([]byte{0xff}, len(body)))
+	}
+	return open
+}
+
+func (s *RoutedServer) write(c net.Conn, r *http.Request, status int, h http.Header, body []byte) bool {
+	resp := &http.Response{
+		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: h, Request: r,
+		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
+	}
+	return resp.Write(c) == nil
+}
+
+// writeBroken ends the answer in the middle of its body.
+func (s *RoutedServer) writeBroken(c net.Conn, r *http.Request, h http.Header, body []byte) bool {
+	var b bytes.Buffer
+	resp := &http.Response{
+		StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, Header: h, Request: r,
+		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
+	}
+	if resp.Write(&b) == nil {
+		_, _ = c.Write(b.Bytes()[:b.Len()-len(body)/2])
+	}
+	return false
+}
+
+// writeUnframed ends the answer with its connection.
+func (s *RoutedServer) writeUnframed(c net.Conn, h http.Header, body []byte) bool {
+	var b bytes.Buffer
+	b.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
+	if h.Write(&b) == nil {
+		b.WriteString("\r\n")
+		b.Write(body)
+		_, _ = c.Write(b.Bytes())
+	}
+	return false
+}
