Let readers that cannot read the platform leave their place to others

Another node read only when the data had got older than 3 s, and its own read made it fresh again, so that a change waited for up to 3.6 s before the read and longer where the next nodes were turned away too. A node whose reads fail twice now says so to the fleet and the next one reads in its place; it goes on to check every 2 s. Ruled out: a lower age for taking over, which makes all nodes read in a calm fleet.

--- a/back/forward.go
+++ b/back/forward.go
@@ -21,6 +21,8 @@
 	// concurrentBody is the body size in bytes above which an answer is read while the request is
 	// still being written, since a server may answer before it has read a long body.
 	concurrentBody = 8 << 10
+	// lateAnswer is how long after the deadline an answer is read that the server gave in time.
+	lateAnswer = 100 * time.Millisecond
 	// silentAfter is the time without a byte after which a reused connection counts as silent. It is
 	// above the pauses that backend servers make.
 	silentAfter = 300 * time.Millisecond
@@ -66,7 +68,7 @@
 		return nil, r
 	}
 	for {
-		c, err := p.take(ctx, deadline, f.Once)
+		c, err := p.take(ctx, deadline.Add(lateAnswer), f.Once)
 		r.Wait = time.Since(start)
 		if err != nil {
 			r.Refused, r.Reset = refused(err), errors.Is(err, syscall.ECONNRESET)
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -19,10 +19,8 @@
 	batchTime = 300 * time.Millisecond
 	// idleCheck is the time between two checks whether a node should read.
 	idleCheck = 100 * time.Millisecond
-	// firstRetry is the pause after the first failure. It doubles up to lastRetry, which is a third
-	// of the time in which a change must be in force.
+	// firstRetry is the pause after the first failure. It doubles with each further one.
 	firstRetry = 100 * time.Millisecond
-	lastRetry  = time.Second
 	// returnTime is how long after an outage removals count as lapsed entries.
 	returnTime = 3 * time.Second
 	// staleShare of the time in which a change must be in force is the age of the data from which a
@@ -32,9 +30,13 @@
 	// defaultApplyTime is used where no bound is set.
 	defaultApplyTime = 5 * time.Second
 	// staleStep delays the nodes of a failure domain in turn, so that few of them take over.
-	staleStep = 300 * time.Millisecond
-	// staleSteps bounds the delay.
-	staleSteps = 4
+	staleStep = 200 * time.Millisecond
+	// lastTakeOver is the last rank that takes over. When so many cannot read, the platform is away.
+	lastTakeOver = 5
+	// blindAfter is the number of failures in a row from which on a reader leaves its place to others
+	// and only checks, at most blindRetry apart, whether it can read again.
+	blindAfter = 2
+	blindRetry = 2 * time.Second
 	// JoinTime is how long a node that has just started waits for the data of a peer before it
 	// reads the platform.
 	JoinTime = 600 * time.Millisecond
@@ -131,10 +133,16 @@
 	if in.Rank == 0 && (r.seed || now.Sub(r.started) >= settleTime) {
 		return true
 	}
-	limit := r.stale + time.Duration(min(max(in.Rank-1, 0), staleSteps))*staleStep
-	return !in.Known || in.Age > limit
+	if r.IsBlind() {
+		return true
+	}
+	limit := r.stale + time.Duration(max(in.Rank-1, 0))*staleStep
+	return !in.Known || in.Rank <= lastTakeOver && in.Age > limit
 }
 
+// IsBlind reports whether the last reads have failed.
+func (r *Reader) IsBlind() bool { return r.failures >= blindAfter }
+
 // Succeed records an answer up to a revision, and marks its removals when they may be due to an
 // outage.
 func (r *Reader) Succeed(now time.Time, d *Delta) {
@@ -164,7 +172,7 @@
 		return
 	}
 	r.failures++
-	pause := min(lastRetry, firstRetry<<min(r.failures-1, 10))
+	pause := min(blindRetry, firstRetry<<min(r.failures-1, 10))
 	r.next = now.Add(time.Duration((0.5 + jitter/2) * float64(pause)))
 }
 
--- a/fleet/codec_test.go
+++ b/fleet/codec_test.go
@@ -40,6 +40,7 @@
 			FailureDomain: maybe(rapid.String()).Draw(t, "domain"), Region: maybe(rapid.String()).Draw(t, "region"),
 			Weight: maybe(rapid.Int()).Draw(t, "weight"), Incarnation: rapid.Int64().Draw(t, "incarnation"),
 			Sequence: maybe(rapid.Uint64()).Draw(t, "sequence"), State: rapid.SampledFrom(states).Draw(t, "state"),
+			Status: Status{Blind: rapid.Bool().Draw(t, "blind"), Busy: rapid.Bool().Draw(t, "busy")},
 		},
 		Observer: maybe(anyAddress).Draw(t, "observer"),
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -42,6 +42,15 @@
 	Incarnation   int64          `json:"Incarnation" cbor:"6,keyasint"`
 	Sequence      uint64         `json:"Sequence,omitempty" cbor:"7,keyasint,omitempty"`
 	State         State          `json:"State" cbor:"8,keyasint"`
+	Status
+}
+
+// Status is what a member says of itself beside its state.
+type Status struct {
+	// Blind means that the member cannot read the platform.
+	Blind bool `json:"Blind,omitempty" cbor:"10,keyasint,omitempty"`
+	// Busy means that the member has little capacity left.
+	Busy bool `json:"Busy,omitempty" cbor:"11,keyasint,omitempty"`
 }
 
 // newerThan reports whether m supersedes o, which has the same address.
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -90,6 +90,19 @@
 	}
 }
 
+// SetStatus tells the other members what has changed about this node.
+func (n *Node) SetStatus(now time.Time, s Status) []Output {
+	n.see(now)
+	if n.self.Status != s {
+		me := n.self.Member
+		me.Sequence, me.Status = me.Sequence+1, s
+		n.table.apply(n.now, me)
+		n.floodUpdate(Update{Member: n.self.Member}, netip.AddrPort{})
+		n.flush()
+	}
+	return n.take()
+}
+
 // restate announces this node with a higher sequence.
 func (n *Node) restate(sequence uint64, s State) {
 	me := n.self.Member
--- /dev/null
+++ b/front/fleet_test.go
@@ -0,0 +1,219 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/feed"
+	"github.com/arbutusthread/arbutusthread/node"
+	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/table"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// settle is how long a test waits for something to happen. It is far above the time that it takes.
+const settle = 20 * time.Second
+
+// fixture is a fleet of nodes in one process with stand-ins of the platform and of backend servers.
+type fixture struct {
+	*testing.T
+	published *stand.Published
+	servers   map[string]*stand.RoutedServer
+	nodes     []*runningNode
+}
+
+type runningNode struct {
+	*node.Node
+	caller  netip.AddrPort
+	stop    context.CancelFunc
+	stopped chan error
+}
+
+// newFixture starts a node in each failure domain. Each node has a loopback address of its own.
+func newFixture(t *testing.T, domains ...string) *fixture {
+	f := &fixture{T: t, published: stand.NewPublished(), servers: make(map[string]*stand.RoutedServer)}
+	port := freePort(t)
+	var seeds []netip.AddrPort
+	for i := range domains {
+		seeds = append(seeds, netip.AddrPortFrom(loopback(i), port))
+	}
+	for i, d := range domains {
+		f.startNode(i, d, port, seeds)
+	}
+	t.Cleanup(func() {
+		for _, n := range f.nodes {
+			n.stop()
+			if err := <-n.stopped; err != nil {
+				t.Error(err)
+			}
+		}
+		for _, s := range f.servers {
+			s.Close()
+		}
+	})
+	return f
+}
+
+func loopback(i int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 77, byte(i + 1)}) }
+
+func freePort(t *testing.T) uint16 {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.77.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort().Port()
+}
+
+func (f *fixture) startNode(i int, domain string, port uint16, seeds []netip.AddrPort) {
+	f.Helper()
+	settings := &conf.Settings{
+		Name: fmt.Sprint("node-", i), FailureDomain: domain, Region: "tw",
+		CallerAddress: netip.AddrPortFrom(loopback(i), freePort(f.T)), PeerAddress: netip.AddrPortFrom(loopback(i), port),
+		FleetKeys: []string{strings.Repeat("ab", 16)}, Seeds: seeds,
+		Limits: conf.Limits{AnswerBytes: 1 << 20},
+		Bounds: conf.Bounds{
+			RetryRatio: 0.2, RetrySlack: 50, RetryWindow: wire.Duration(10 * time.Second),
+			ApplyTime: wire.Duration(3 * time.Second), StopTime: wire.Duration(2 * time.Second),
+		},
+	}
+	n, err := node.New(node.Config{Settings: settings, Source: f.published, Headers: wire.DefaultHeaders(), Log: quiet})
+	if err != nil {
+		f.Fatal(err)
+	}
+	handler := NewHandler(Config{Backend: n, Headers: wire.DefaultHeaders(), Log: quiet})
+	ctx, stop := context.WithCancel(context.Background())
+	r := &runningNode{Node: n, caller: settings.CallerAddress, stop: stop, stopped: make(chan error, 1)}
+	go func() {
+		r.stopped <- Serve(ctx, &Runtime{
+			Callers: settings.CallerAddress, Run: n.Run, Leave: n.Leave, StopTime: settings.Bounds.StopTime.Std(), Log: quiet,
+			Server: NewServer(handler, func() table.Limits { return table.Limits{} }, quiet),
+		})
+	}()
+	f.nodes = append(f.nodes, r)
+	f.until("the node listens", func() bool {
+		c, err := net.Dial("tcp", settings.CallerAddress.String())
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	})
+}
+
+// server starts a backend server of a service and publishes it.
+func (f *fixture) server(service, domain string, c stand.RoutedConfig) *stand.RoutedServer {
+	f.Helper()
+	c.ID = service + "-" + domain
+	s, err := stand.NewRoutedServer(netip.MustParseAddrPort("127.0.0.1:0"), c)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.servers[c.ID] = s
+	f.published.PutServer(f.entry(c.ID, service, domain))
+	return s
+}
+
+func (f *fixture) entry(id, service, domain string) feed.Server {
+	return feed.Server{ID: id, Service: service, Address: f.servers[id].Address(), FailureDomain: domain, Slots: 2}
+}
+
+// routes are those of the tests: a sweep over three shards and requests to one service.
+func routes() table.Config {
+	return table.Config{
+		Routes: []table.Route{
+			{
+				Name: "sweep", Host: "ledger.example", Prefix: "/sweep/", Shards: []string{"a", "b", "c"}, Idempotent: true,
+				Timeout: wire.Duration(2 * time.Second), TargetLatency: wire.Duration(300 * time.Millisecond),
+				MaxAttempts: 2, TopK: 5, MinCoverage: 0.6,
+			},
+			{
+				Name: "lookup", Host: "ledger.example", Prefix: "/lookup/", Idempotent: true, MaxAttempts: 2,
+				Timeout: wire.Duration(2 * time.Second), Targets: []table.Target{{Service: "ledger", Weight: 1}},
+			},
+			{
+				Name: "order", Host: "ledger.example", Prefix: "/order/", MaxAttempts: 2,
+				Timeout: wire.Duration(time.Second), Targets: []table.Target{{Service: "ledger", Weight: 1}},
+			},
+		},
+		Services: []table.Service{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "ledger", Connections: 25}},
+	}
+}
+
+// until waits for a condition.
+func (f *fixture) until(what string, ok func() bool) {
+	f.Helper()
+	for end := time.Now().Add(settle); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.Fatalf("%s did not happen within %s", what, settle)
+}
+
+// ready publishes the routes and waits until all nodes serve them.
+func (f *fixture) ready() {
+	f.Helper()
+	f.published.SetConfig(routes())
+	for _, n := range f.nodes {
+		f.until("a node is ready", n.Ready)
+	}
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+var requests int
+
+// call sends one request to a node on a connection of its own.
+func (f *fixture) call(n *runningNode, method, uri, body string, header ...string) answer {
+	f.Helper()
+	requests++
+	r, err := http.NewRequest(method, "http://"+n.caller.String()+uri, strings.NewReader(body))
+	if err != nil {
+		f.Fatal(err)
+	}
+	r.Host = "ledger.example"
+	r.Header.Set("Request-Id", fmt.Sprint("r", requests))
+	r.Header.Set("Request-Timeout", "1500")
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	resp, err := client.Do(r)
+	if err != nil {
+		f.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.Fatal(err)
+	}
+	return answer{resp.StatusCode, resp.Header, string(b)}
+}
+
+// dial opens a connection to a node.
+func (f *fixture) dial(n *runningNode) (net.Conn, *bufio.Reader) {
+	f.Helper()
+	c, err := net.Dial("tcp", n.caller.String())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { c.Close() })
+	return c, bufio.NewReader(c)
+}
--- a/front/handler.go
+++ b/front/handler.go
@@ -127,6 +127,8 @@
 		limit = table.DefaultBodyBytes
 	}
 	if r.ContentLength > limit {
+		// A caller that is cut off while it writes does not see the answer.
+		_, _ = io.CopyN(io.Discard, r.Body, limit)
 		return nil, http.StatusRequestEntityTooLarge
 	}
 	if r.Body == nil || r.Body == http.NoBody {
--- a/front/server.go
+++ b/front/server.go
@@ -54,10 +54,21 @@
 }
 
 func (s *Server) serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
-	if s.draining.Load() {
+	h.ServeHTTP(&drainWriter{w, &s.draining}, r)
+}
+
+// drainWriter asks the caller to close its connection when the server drains as the answer begins.
+type drainWriter struct {
+	http.ResponseWriter
+	draining *atomic.Bool
+}
+
+// WriteHeader sends the head of the answer.
+func (w *drainWriter) WriteHeader(status int) {
+	if w.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	h.ServeHTTP(w, r)
+	w.ResponseWriter.WriteHeader(status)
 }
 
 // changed notes when connections become idle. The library's own idle timeout cannot be changed while
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,9 @@
 	attempts map[gather.AttemptID]context.CancelFunc
 	relays   map[gather.RelayID]context.CancelFunc
 
+	statusMu sync.Mutex
+	status   fleet.Status
+
 	stopping atomic.Bool
 }
 
@@ -151,6 +154,16 @@
 	}
 }
 
+// setBlind tells the other nodes whether this one can read the platform.
+func (n *Node) setBlind(blind bool) {
+	n.statusMu.Lock()
+	defer n.statusMu.Unlock()
+	if n.status.Blind != blind {
+		n.status.Blind = blind
+		n.peer.SetStatus(n.status)
+	}
+}
+
 // Table returns the routes in force, or nil before the first configuration.
 func (n *Node) Table() *table.Table { return n.table.Load() }
 
--- a/node/read.go
+++ b/node/read.go
@@ -52,6 +52,7 @@
 	failures := n.reader.Failures()
 	n.reader.Succeed(now, &d)
 	n.feedMu.Unlock()
+	n.setBlind(false)
 	if p.Step == feed.Load {
 		n.log.Info("platform loaded", "Revision", d.To, "Changes", len(d.Changes))
 	}
@@ -68,8 +69,9 @@
 func (n *Node) readFailed(now time.Time, err error) {
 	n.feedMu.Lock()
 	n.reader.Fail(now, err, rand.Float64())
-	failures := n.reader.Failures()
+	failures, blind := n.reader.Failures(), n.reader.IsBlind()
 	n.feedMu.Unlock()
+	n.setBlind(blind)
 	if failures == 1 || errors.Is(err, feed.ErrGone) {
 		n.log.Warn("platform read failed", "Error", err)
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -261,6 +261,11 @@
 	n.do(func(now time.Time) []fleet.Output { return n.fleet.SetFeed(now, revision, read) })
 }
 
+// SetStatus tells the other nodes what has changed about this one.
+func (n *Node) SetStatus(s fleet.Status) {
+	n.do(func(now time.Time) []fleet.Output { return n.fleet.SetStatus(now, s) })
+}
+
 // Leave announces a planned stop.
 func (n *Node) Leave() { n.do(n.fleet.Leave) }
 
