node: make the test of readers that are turned away fail without their status

It now counts who reads: two nodes for as long as the readers are turned away. Without the status nodes read in turn whenever their data gets old (1 reader in the counted time instead of 2, the others idle until the data is 1.8 s old).

--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -33,6 +33,8 @@
 type turnedAway struct {
 	*stand.Published
 	away atomic.Bool
+	// reads counts the reads that succeeded.
+	reads atomic.Int64
 }
 
 func (s *turnedAway) Load(ctx context.Context) (feed.Delta, error) {
@@ -50,6 +52,9 @@
 	if s.away.Load() {
 		return feed.Delta{}, stand.ErrPlatformDown
 	}
+	if err == nil {
+		s.reads.Add(1)
+	}
 	return d, err
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -39,19 +39,25 @@
 	}
 }
 
-// Guards against data that gets old while the platform turns some nodes away, the readers among them.
+// Guards against data that gets old again and again while the platform turns the readers away: two other
+// nodes take their places for as long, and all others need not read.
 func TestReadersAreTurnedAway(t *testing.T) {
 	t.Parallel()
+	is := is.New(t)
 	published, members := newFleet(t, 82, "lukang", "lukang", "yilan", "yilan", "chiayi", "chiayi")
 	published.SetConfig(config("s"))
 	for _, m := range members {
 		until(t, "the first configuration is in force", settle, func() bool { return has(m, "s") })
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(4 * time.Second) // nodes that have just started do not trust their rank yet
 	for _, m := range members {
 		m.source.away.Store(m.peer.ReaderRank() == 0)
 	}
-	for i := range 4 {
+	time.Sleep(applyTime)
+	for _, m := range members {
+		m.source.reads.Store(0)
+	}
+	for i := range 6 {
 		time.Sleep(time.Second)
 		name := fmt.Sprint("s", i)
 		published.SetConfig(config(name))
@@ -60,6 +66,13 @@
 			until(t, "the configuration is in force", applyTime-time.Since(begin), func() bool { return has(m, name) })
 		}
 	}
+	readers := 0
+	for _, m := range members {
+		if m.source.reads.Load() > 0 {
+			readers++
+		}
+	}
+	is.Equal(readers, 2)
 }
 
 // Guards against a node that serves nothing because the platform is down when it starts: it takes the
