Log decisions in the background with a bounded volume, count what a node does, and serve its state

The log has one line for each request with what decided it, and one for each hedge, retry, relay, ejection and failed attempt with the latencies and the state of the servers that led to it.

--- a/feed/reader.go
+++ b/feed/reader.go
@@ -92,6 +92,18 @@
 	Watch
 )
 
+// String returns the name of the step.
+func (s Step) String() string {
+	switch s {
+	case Load:
+		return "load"
+	case Watch:
+		return "watch"
+	default:
+		return "idle"
+	}
+}
+
 // Plan is the next step of a reader.
 type Plan struct {
 	Step  Step
--- a/front/answer.go
+++ b/front/answer.go
@@ -27,10 +27,14 @@
 	default:
 		h.writeParts(w, r, q, out)
 	}
-	h.config.Log.Info("answered", "RequestId", q.Forward.RequestID, "Route", q.Route.Name, "Status", status,
-		"End", out.End, "Answered", out.Answered, "Total", out.Total, "Sends", out.Sends, "Hedges", out.Hedges, "Retries", out.Retries, "Remote", out.Remote, "Relayed", out.Relayed,
-		"Reason", out.Reason, "Missing", out.Missing,
-		"Duration", time.Since(started).Round(100*time.Microsecond))
+	took := time.Since(started)
+	route := h.routes.name(q.Route.Name)
+	h.config.Metrics.Count("requests", "route", route, "status", strconv.Itoa(status))
+	h.config.Metrics.Latency("request_latency", took, "route", route)
+	h.config.Log.Info("answered", "RequestId", q.Forward.RequestID, "Route", q.Route.Name, "ConfigVersion", q.Version,
+		"Status", status, "End", out.End, "Answered", out.Answered, "Total", out.Total, "Sends", out.Sends,
+		"Hedges", out.Hedges, "Retries", out.Retries, "Remote", out.Remote, "Relayed", out.Relayed,
+		"Reason", out.Reason, "Missing", out.Missing, "Duration", took.Round(100*time.Microsecond))
 }
 
 // failureStatus returns the status of a request without an answer. 503 states that it has not run.
--- a/front/fleet_test.go
+++ b/front/fleet_test.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		f.Fatal(err)
 	}
-	handler := NewHandler(Config{Backend: n, Headers: wire.DefaultHeaders(), Log: quiet})
+	handler := NewHandler(Config{Backend: n, Headers: wire.DefaultHeaders(), Metrics: n.Metrics(), Log: quiet})
 	ctx, stop := context.WithCancel(context.Background())
 	r := &runningNode{Node: n, caller: settings.CallerAddress, stop: stop, stopped: make(chan error, 1)}
 	go func() {
--- a/front/handler.go
+++ b/front/handler.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/arbutusthread/arbutusthread/back"
+	"github.com/arbutusthread/arbutusthread/meter"
 	"github.com/arbutusthread/arbutusthread/node"
 	"github.com/arbutusthread/arbutusthread/table"
 	"github.com/arbutusthread/arbutusthread/wire"
@@ -31,12 +32,15 @@
 type Config struct {
 	Backend Backend
 	Headers wire.Headers
+	Metrics *meter.Metrics
 	Log     *slog.Logger
 }
 
 // Handler serves the requests of callers.
 type Handler struct {
 	config Config
+	// routes are those that metrics name.
+	routes routeNames
 }
 
 // NewHandler returns a handler.
@@ -65,9 +69,12 @@
 		return
 	}
 	q := h.request(r, route, body, started)
+	q.Version = t.Config().Version
 	out, err := h.config.Backend.Serve(r.Context(), q)
 	if err != nil {
 		// The caller has left, so that nothing can be written.
+		h.config.Metrics.Count("requests", "route", h.routes.name(route.Name), "status", "left")
+		h.config.Log.Info("caller left", "RequestId", q.Forward.RequestID, "Route", route.Name, "Duration", time.Since(started))
 		panic(http.ErrAbortHandler)
 	}
 	h.answer(w, r, q, &out, started)
@@ -150,10 +157,20 @@
 	if after > 0 {
 		w.Header().Set("Retry-After", seconds(after))
 	}
-	h.config.Log.Info("refused", "RequestId", r.Header.Get(h.config.Headers.RequestID), "Status", status, "Reason", reason)
+	h.config.Metrics.Count("requests", "route", "", "status", strconv.Itoa(status))
+	h.config.Log.Info("refused", "RequestId", r.Header.Get(h.config.Headers.RequestID), "Host", r.Host, "Status", status,
+		"Reason", reason, "ConfigVersion", h.version())
 	http.Error(w, reason, status)
 }
 
+// version returns that of the configuration in force, 0 before the first.
+func (h *Handler) version() uint64 {
+	if t := h.config.Backend.Table(); t != nil {
+		return t.Config().Version
+	}
+	return 0
+}
+
 // seconds writes a time in seconds with a fraction.
 func seconds(d time.Duration) string {
 	return strconv.FormatFloat(d.Seconds(), 'f', -1, 64)
--- a/gather/engine.go
+++ b/gather/engine.go
@@ -102,12 +102,14 @@
 	Events []Event
 }
 
-// Event is a decision or observation.
+// Event is a decision or observation to log.
 type Event struct {
-	Name   string
+	Name string
+	// Job is the request that it concerns, 0 for none.
 	Job    JobID
 	Pool   string
 	Server string
+	// Detail holds what decided it.
 	Detail string
 }
 
@@ -198,3 +200,29 @@
 
 // SetNodes tells how many nodes share the servers. Budgets and cold rates are divided by it.
 func (e *Engine) SetNodes(n int) { e.nodes = max(1, n) }
+
+// Load is what an engine has in hand.
+type Load struct {
+	// Requests and Attempts are in flight, and Waiting are shards without a server that has room.
+	Requests, Attempts, Waiting int
+	// Servers are listed, Ejected of them get no requests for a while.
+	Servers, Ejected int
+}
+
+// Load returns what the engine has in hand.
+func (e *Engine) Load(now time.Time) Load {
+	l := Load{Requests: len(e.jobs), Attempts: len(e.attempts), Servers: len(e.servers)}
+	for _, s := range e.servers {
+		if s.ejected(now) {
+			l.Ejected++
+		}
+	}
+	for _, j := range e.jobs {
+		for i := range j.tasks {
+			if j.tasks[i].waiting {
+				l.Waiting++
+			}
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/gather/explain.go
@@ -0,0 +1,69 @@
+package gather
+
+import (
+	"strconv"
+	"strings"
+	"time"
+)
+
+// maxMissing bounds the shards that the log names for one request.
+const maxMissing = 4
+
+// describe tells for the log what an unanswered task was waiting for.
+func (t *task) describe() string {
+	var b strings.Builder
+	b.WriteString(t.pool.name)
+	for _, a := range t.attempts {
+		b.WriteByte(' ')
+		b.WriteString(string(a.purpose))
+		b.WriteByte('@')
+		b.WriteString(a.target())
+		if a.ended {
+			b.WriteByte(' ')
+			b.WriteString(string(a.class))
+		}
+	}
+	if t.waiting {
+		b.WriteString(" waiting")
+	}
+	return b.String()
+}
+
+// target returns the server of an attempt, or the relay.
+func (a *attempt) target() string {
+	if a.server == nil {
+		return a.relay.node.Address.String()
+	}
+	return a.server.ID
+}
+
+// explainSend tells for the log what decided for another attempt and its server.
+func (e *Engine) explainSend(now time.Time, t *task, s *server) string {
+	var b strings.Builder
+	c := t.job.class
+	b.WriteString("class median " + milliseconds(c.typical()) + " tail " + milliseconds(c.tail()))
+	for _, a := range t.attempts {
+		b.WriteString("; " + a.target())
+		switch {
+		case a.ended:
+			b.WriteString(" ended: " + string(a.class))
+		default:
+			b.WriteString(" open for " + milliseconds(now.Sub(a.sentAt)))
+		}
+	}
+	b.WriteString("; " + s.ID + s.describe(now))
+	return b.String()
+}
+
+// describe tells for the log what is known of a server and how old it is.
+func (s *server) describe(now time.Time) string {
+	text := " slowness " + strconv.FormatFloat(s.slownessNow(now), 'f', 1, 64) + " open " + strconv.Itoa(len(s.open))
+	if s.answeredAt.IsZero() {
+		return text + " never answered"
+	}
+	return text + " answered " + milliseconds(now.Sub(s.answeredAt)) + " ago"
+}
+
+func milliseconds(d time.Duration) string {
+	return strconv.FormatFloat(float64(d)/float64(time.Millisecond), 'f', 1, 64) + "ms"
+}
--- a/gather/finish.go
+++ b/gather/finish.go
@@ -1,9 +1,6 @@
 package gather
 
-import (
-	"strings"
-	"time"
-)
+import "time"
 
 // hedgeTime returns when a shard that has not been answered gets a hedge: as late as a hedge can
 // still be expected to be answered before the target, so that few requests need one, but not before
@@ -93,30 +90,3 @@
 	}
 	e.end(j, act, false)
 }
-
-// maxMissing bounds the shards that the log names for one request.
-const maxMissing = 4
-
-// describe tells for the log what an unanswered task was waiting for.
-func (t *task) describe() string {
-	var b strings.Builder
-	b.WriteString(t.pool.name)
-	for _, a := range t.attempts {
-		b.WriteByte(' ')
-		b.WriteString(string(a.purpose))
-		if a.server != nil {
-			b.WriteByte('@')
-			b.WriteString(a.server.ID)
-		} else {
-			b.WriteString("@relay")
-		}
-		if a.ended {
-			b.WriteByte(' ')
-			b.WriteString(string(a.class))
-		}
-	}
-	if t.waiting {
-		b.WriteString(" waiting")
-	}
-	return b.String()
-}
--- a/gather/job.go
+++ b/gather/job.go
@@ -208,6 +208,11 @@
 	t.attempts = append(t.attempts, a)
 	s.open = append(s.open, a)
 	s.sent.add(now)
+	if p != Primary {
+		act.Events = append(act.Events, Event{
+			Name: string(p), Job: j.id, Pool: t.pool.name, Server: s.ID, Detail: e.explainSend(now, t, s),
+		})
+	}
 	act.Sends = append(act.Sends, Send{
 		Attempt: a.id, Job: j.id, Task: t.index, Pool: t.pool.name, Server: s.Server, Purpose: p, Deadline: j.Deadline,
 	})
@@ -227,6 +232,12 @@
 	e.learn(now, a, r, &act)
 	j, t := a.job, a.task
 	e.settle(a)
+	if r.Class != OK && r.Class != Answered && !a.canceled {
+		act.Events = append(act.Events, Event{
+			Name: "attempt failed", Job: j.id, Pool: t.pool.name, Server: a.server.ID,
+			Detail: string(a.purpose) + " " + string(r.Class) + " after " + milliseconds(now.Sub(a.sentAt)) + ": " + r.Detail,
+		})
+	}
 	e.dispatch(now, a.server.pool, &act)
 	if e.jobs[j.id] != j || t.answered || t.lost {
 		return act
@@ -319,7 +330,8 @@
 func (e *Engine) ejectAfter(now time.Time, s *server, severe bool, r Result, act *Actions) {
 	if s.fail(now, severe) {
 		act.Events = append(act.Events, Event{
-			Name: "eject", Pool: s.pool.name, Server: s.ID, Detail: string(r.Class) + ": " + r.Detail,
+			Name: "eject", Pool: s.pool.name, Server: s.ID,
+			Detail: string(r.Class) + ", for " + milliseconds(s.ejectedUntil.Sub(now)) + ": " + r.Detail,
 		})
 	}
 }
--- a/gather/relay.go
+++ b/gather/relay.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -164,6 +165,10 @@
 		s.Tasks = append(s.Tasks, t.index)
 	}
 	act.Relays = append(act.Relays, s)
+	act.Events = append(act.Events, Event{
+		Name: "relay", Job: j.id, Server: n.Address.String(),
+		Detail: string(p) + " of " + strconv.Itoa(len(group)) + " shards in " + n.FailureDomain + ", reply in " + milliseconds(s.ReplyAt.Sub(now)),
+	})
 }
 
 // replyAt returns when a relay should send what it has: before hedges are due or, when it runs hedges,
@@ -252,6 +257,11 @@
 			e.failRelayed(now, r, a, res, &act)
 		}
 	}
+	if failed && res.Class != Canceled {
+		act.Events = append(act.Events, Event{
+			Name: "relay failed", Job: r.job.id, Server: r.node.Address.String(), Detail: string(res.Class) + ": " + res.Detail,
+		})
+	}
 	if failed && res.Class != Canceled && r.node.fail(now, res.Class == Unsent) {
 		act.Events = append(act.Events, Event{
 			Name: "eject relay", Server: r.node.Address.String(), Detail: string(res.Class) + ": " + res.Detail,
--- /dev/null
+++ b/gather/status.go
@@ -0,0 +1,40 @@
+package gather
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// ServerStatus is what operators see of a backend server.
+type ServerStatus struct {
+	ID            string         `json:"Id"`
+	Service       string         `json:"Service"`
+	Address       netip.AddrPort `json:"Address"`
+	FailureDomain string         `json:"FailureDomain"`
+	Draining      bool           `json:"Draining,omitempty"`
+	Cold          bool           `json:"Cold,omitempty"`
+	Ejected       bool           `json:"Ejected,omitempty"`
+	// Slowness is the latency relative to the typical one.
+	Slowness float64 `json:"Slowness"`
+	// Open counts the requests in flight from this node.
+	Open int `json:"Open"`
+	// Answered is the time of the last answer to this node.
+	Answered time.Time `json:"Answered,omitzero"`
+}
+
+// Status returns the state of all servers in the order of their services and IDs.
+func (e *Engine) Status(now time.Time) []ServerStatus {
+	list := make([]ServerStatus, 0, len(e.servers))
+	for _, s := range e.servers {
+		list = append(list, ServerStatus{
+			ID: s.ID, Service: s.pool.name, Address: s.Address, FailureDomain: s.FailureDomain, Draining: s.Draining,
+			Cold: s.cold(now), Ejected: s.ejected(now), Slowness: s.slownessNow(now), Open: len(s.open), Answered: s.answeredAt,
+		})
+	}
+	slices.SortFunc(list, func(a, b ServerStatus) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
--- a/serve/metric.go
+++ b/meter/meter.go
@@ -1,4 +1,5 @@
-package serve
+// Package meter counts what a node does and serves the counts to scrapers.
+package meter
 
 import (
 	"io"
@@ -24,12 +25,14 @@
 	// counters keeps the counters by name and tags, because tagging a scope for each shard request
 	// costs more than counting.
 	counters sync.Map
-	closer   io.Closer
-	handler  http.Handler
+	// histograms does the same for histograms.
+	histograms sync.Map
+	closer     io.Closer
+	handler    http.Handler
 }
 
-// NewMetrics returns metrics tagged with the node's name and failure domain.
-func NewMetrics(name, domain string) *Metrics {
+// New returns metrics tagged with the node's name and failure domain.
+func New(name, domain string) *Metrics {
 	// A registry of its own allows several nodes in one process.
 	registry := client.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
@@ -51,11 +54,34 @@
 	c.(tally.Counter).Inc(1)
 }
 
+// Counter returns a counter for code that counts often.
+func (m *Metrics) Counter(name string, tags ...string) tally.Counter {
+	return m.scope.Tagged(tagMap(tags)).Counter(name)
+}
+
 // Time records a duration.
 func (m *Metrics) Time(name string, d time.Duration, tags ...string) {
 	m.scope.Tagged(tagMap(tags)).Timer(name).Record(d)
 }
 
+// latencyBuckets are the bounds of latency histograms. They are close to each other around the
+// response-time objectives of 50 to 500 ms.
+var latencyBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond, 30 * time.Millisecond, 40 * time.Millisecond,
+	50 * time.Millisecond, 60 * time.Millisecond, 80 * time.Millisecond, 100 * time.Millisecond, 120 * time.Millisecond,
+	200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second,
+}
+
+// Latency records a latency in a histogram.
+func (m *Metrics) Latency(name string, d time.Duration, tags ...string) {
+	key := name + "\x00" + strings.Join(tags, "\x00")
+	h, ok := m.histograms.Load(key)
+	if !ok {
+		h, _ = m.histograms.LoadOrStore(key, m.scope.Tagged(tagMap(tags)).Histogram(name, latencyBuckets))
+	}
+	h.(tally.Histogram).RecordDuration(d)
+}
+
 // Gauge sets a value.
 func (m *Metrics) Gauge(name string, v float64, tags ...string) {
 	m.scope.Tagged(tagMap(tags)).Gauge(name).Update(v)
--- a/node.go
+++ b/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -11,6 +10,7 @@
 
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/front"
+	"github.com/arbutusthread/arbutusthread/logs"
 	"github.com/arbutusthread/arbutusthread/node"
 	"github.com/arbutusthread/arbutusthread/platform"
 	"github.com/arbutusthread/arbutusthread/table"
@@ -52,7 +52,9 @@
 	if err != nil {
 		return err
 	}
-	log := slog.New(slog.NewJSONHandler(c.out, &slog.HandlerOptions{Level: settings.Log.SlogLevel()}))
+	output := logs.New(logs.Config{Output: c.out, Level: settings.Log.SlogLevel()})
+	defer output.Close()
+	log := output.Logger("Node", settings.Name)
 	n, err := node.New(node.Config{
 		Settings: settings, Source: platform.NewStore(settings.Platform, log), Headers: platform.Headers(), Log: log,
 	})
@@ -62,14 +64,16 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	handler := front.NewHandler(front.Config{Backend: n, Headers: platform.Headers(), Log: log})
-	log.Info("node starts", "Name", settings.Name, "FailureDomain", settings.FailureDomain, "CallerAddress", settings.CallerAddress)
+	handler := front.NewHandler(front.Config{Backend: n, Headers: platform.Headers(), Metrics: n.Metrics(), Log: log})
+	log.Info("node starts", "FailureDomain", settings.FailureDomain, "CallerAddress", settings.CallerAddress)
 	return front.Serve(ctx, &front.Runtime{
 		Callers: settings.CallerAddress,
 		Server:  front.NewServer(handler, func() table.Limits { return limitsOf(n.Table()) }, log),
 		Sides: []front.Endpoint{
 			{Address: settings.DirectoryAddress, Handler: platform.DirectoryHandler(n, log)},
 			{Address: settings.ReadyAddress, Handler: platform.ReadyHandler(n)},
+			{Address: settings.OpsAddress, Handler: front.OpsHandler(n, log)},
+			{Address: settings.MetricsAddress, Handler: front.OpsHandler(n, log)},
 		},
 		Run: n.Run, Leave: n.Leave, StopTime: settings.Bounds.StopTime.Std(), Log: log,
 	})
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -30,8 +30,10 @@
 	now := time.Now()
 	delete(n.attempts, s.Attempt)
 	c.sent[s.Task] = c.sent[s.Task] || r.MayHaveRun
+	class := classOf(seal, reply, r)
+	n.countAttempt(s.Purpose, class)
 	act := n.engine.Done(now, s.Attempt, gather.Result{
-		Class: classOf(seal, reply, r), Latency: r.Latency, ColdFor: r.ColdFor, Detail: r.Message,
+		Class: class, Latency: r.Latency, ColdFor: r.ColdFor, Detail: r.Message,
 	})
 	if n.calls[c.id] != c {
 		n.performAll(now, act)
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/meter"
+)
+
+// gaugeEvery is the time between two updates of the gauges. Scrapes come every few seconds.
+const gaugeEvery = 2 * time.Second
+
+type attemptKey struct {
+	purpose gather.Purpose
+	class   gather.Class
+}
+
+// countAttempt counts the end of an attempt. The caller holds n.mu.
+func (n *Node) countAttempt(p gather.Purpose, c gather.Class) {
+	k := attemptKey{p, c}
+	counter := n.attemptCounters[k]
+	if counter == nil {
+		counter = n.metrics.Counter("attempts", "purpose", string(p), "class", string(c))
+		n.attemptCounters[k] = counter
+	}
+	counter.Inc(1)
+}
+
+// attemptCounters holds the counters of attempts, since tagging one for each attempt costs more than
+// counting.
+type attemptCounters map[attemptKey]tally.Counter
+
+// gauge reports the state of the node now and then.
+func (n *Node) gauge(ctx context.Context) {
+	t := time.NewTicker(gaugeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.updateGauges()
+		}
+	}
+}
+
+func (n *Node) updateGauges() {
+	m := n.metrics
+	p := n.position()
+	m.Gauge("config_version", float64(p.Version))
+	m.Gauge("platform_revision", float64(p.Revision))
+	if age, ok := n.peer.FeedAge(); ok {
+		m.Gauge("platform_age_seconds", age.Seconds())
+	}
+	m.Gauge("reader_rank", float64(n.peer.ReaderRank()))
+	states := map[fleet.State]int{fleet.StateAlive: 0, fleet.StateLeaving: 0, fleet.StateDown: 0}
+	for _, x := range n.peer.Members() {
+		states[x.State]++
+	}
+	for s, count := range states {
+		m.Gauge("members", float64(count), "state", string(s))
+	}
+	n.mu.Lock()
+	load := n.engine.Load(time.Now())
+	n.mu.Unlock()
+	m.Gauge("requests_open", float64(load.Requests))
+	m.Gauge("attempts_open", float64(load.Attempts))
+	m.Gauge("shards_waiting", float64(load.Waiting))
+	m.Gauge("servers", float64(load.Servers))
+	m.Gauge("servers_ejected", float64(load.Ejected))
+	m.Gauge("goroutines", float64(runtime.NumGoroutine()))
+}
+
+// Metrics returns the counts of the node.
+func (n *Node) Metrics() *meter.Metrics { return n.metrics }
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/meter"
 	"github.com/arbutusthread/arbutusthread/peer"
 	"github.com/arbutusthread/arbutusthread/place"
 	"github.com/arbutusthread/arbutusthread/table"
@@ -48,6 +49,7 @@
 type Node struct {
 	config  Config
 	log     *slog.Logger
+	metrics *meter.Metrics
 	peer    *peer.Node
 	backend *back.Client
 	table   atomic.Pointer[table.Table]
@@ -65,6 +67,7 @@
 	calls    map[gather.JobID]*call
 	attempts map[gather.AttemptID]context.CancelFunc
 	relays   map[gather.RelayID]context.CancelFunc
+	attemptCounters
 
 	statusMu sync.Mutex
 	status   fleet.Status
@@ -76,7 +79,7 @@
 func New(c Config) (*Node, error) {
 	s := c.Settings
 	n := &Node{
-		config: c, log: c.Log,
+		config: c, log: c.Log, metrics: meter.New(s.Name, s.FailureDomain), attemptCounters: make(attemptCounters),
 		backend: back.NewClient(back.Config{
 			MaxAnswer: s.Limits.AnswerBytes, Headers: c.Headers, Logger: c.Log,
 		}),
@@ -104,7 +107,7 @@
 	})
 	if err != nil {
 		n.backend.Close()
-		return nil, err
+		return nil, errors.CombineErrors(err, n.metrics.Close())
 	}
 	n.peer = p
 	n.peer.SetSeeds(seedAddresses(s))
@@ -142,9 +145,10 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.peer.Run(ctx) })
 	group.Go(func() error { n.read(ctx); return nil })
+	group.Go(func() error { n.gauge(ctx); return nil })
 	err := group.Wait()
 	n.backend.Close()
-	return err
+	return errors.CombineErrors(err, n.metrics.Close())
 }
 
 // Leave announces a planned stop to the other nodes. The node goes on serving.
--- a/node/read.go
+++ b/node/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,7 @@
 		d, err = n.config.Source.Watch(ctx, p.After, p.Wait)
 	}
 	now := time.Now()
+	n.metrics.Count("platform_reads", "step", p.Step.String(), "ok", strconv.FormatBool(err == nil))
 	if err != nil {
 		n.readFailed(now, err)
 		return
@@ -57,7 +59,7 @@
 		n.log.Info("platform loaded", "Revision", d.To, "Changes", len(d.Changes))
 	}
 	if failures > 0 {
-		n.log.Info("platform is back", "Failures", failures)
+		n.log.Info("platform can be read again", "Failures", failures, "Revision", d.To)
 	}
 	if err := n.apply(now, d, "platform"); err != nil {
 		n.log.Warn("data of the platform dropped", "Error", err)
@@ -73,7 +75,7 @@
 	n.feedMu.Unlock()
 	n.setBlind(blind)
 	if failures == 1 || errors.Is(err, feed.ErrGone) {
-		n.log.Warn("platform read failed", "Error", err)
+		n.log.Warn("platform cannot be read", "Error", err, "Revision", n.revision())
 	}
 }
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -16,6 +16,8 @@
 // Request is a caller's request on a route.
 type Request struct {
 	Route *table.Route
+	// Version is that of the configuration that the route comes from.
+	Version uint64
 	// Forward is what servers get; its Instance and Once are set by the node.
 	Forward back.Forward
 	// Deadline is when the caller must have the final answer, and Target the end of the
@@ -207,8 +209,16 @@
 	n.perform(now, c, n.engine.Tick(now, c.id))
 }
 
+// report logs the decisions of the engine. The caller holds n.mu.
 func (n *Node) report(c *call, act gather.Actions) {
 	for _, e := range act.Events {
-		n.log.Info(e.Name, "RequestId", c.forward.RequestID, "Pool", e.Pool, "Server", e.Server, "Detail", e.Detail)
+		request := ""
+		if e.Job == c.id {
+			request = c.forward.RequestID
+		} else if other := n.calls[e.Job]; other != nil {
+			request = other.forward.RequestID
+		}
+		n.metrics.Count("decisions", "name", e.Name)
+		n.log.Info(e.Name, "RequestId", request, "Service", e.Pool, "Server", e.Server, "Detail", e.Detail)
 	}
 }
--- /dev/null
+++ b/node/status.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/peer"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// Status is what a node tells operators of itself.
+type Status struct {
+	Name          string `json:"Name"`
+	FailureDomain string `json:"FailureDomain"`
+	Ready         bool   `json:"Ready"`
+	Stopping      bool   `json:"Stopping"`
+	// ConfigVersion is that of the configuration in force, 0 before the first.
+	ConfigVersion uint64 `json:"ConfigVersion"`
+	// Revision is that of the platform's data, and Age how long ago the data was known to be current.
+	Revision uint64        `json:"Revision"`
+	Age      wire.Duration `json:"Age,omitempty"`
+	// Reads means that this node reads the platform, Blind that it cannot.
+	Reads   bool           `json:"Reads"`
+	Blind   bool           `json:"Blind"`
+	Members []fleet.Member `json:"Members"`
+	// Servers are the backend servers in the order of their services and IDs.
+	Servers []gather.ServerStatus `json:"Servers"`
+	Control peer.Counters         `json:"Control"`
+}
+
+// Status returns the state of the node.
+func (n *Node) Status() Status {
+	p := n.position()
+	s := Status{
+		Name: n.config.Settings.Name, FailureDomain: n.config.Settings.FailureDomain, Ready: n.Ready(),
+		Stopping: n.stopping.Load(), ConfigVersion: p.Version, Revision: p.Revision, Reads: n.peer.ReaderRank() == 0,
+		Blind: n.peer.Self().Blind, Members: n.peer.Members(), Control: n.peer.Counters(),
+	}
+	if age, ok := n.peer.FeedAge(); ok {
+		s.Age = wire.Duration(age)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s.Servers = n.engine.Status(time.Now())
+	return s
+}
--- a/serve/node.go
+++ b/serve/node.go
@@ -19,6 +19,7 @@
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/guard"
+	"github.com/arbutusthread/arbutusthread/meter"
 	"github.com/arbutusthread/arbutusthread/order"
 	"github.com/arbutusthread/arbutusthread/peer"
 	"github.com/arbutusthread/arbutusthread/plat"
@@ -44,7 +45,7 @@
 type Node struct {
 	settings  *conf.Settings
 	log       *slog.Logger
-	metrics   *Metrics
+	metrics   *meter.Metrics
 	decisions *Decisions
 	traces    *trial.Recorder
 
@@ -81,7 +82,7 @@
 func New(c Config) (*Node, error) {
 	s := c.Settings
 	n := &Node{
-		settings: s, log: c.Log, traces: c.Traces, metrics: NewMetrics(s.Name, s.FailureDomain),
+		settings: s, log: c.Log, traces: c.Traces, metrics: meter.New(s.Name, s.FailureDomain),
 		decisions: NewDecisions(c.Log, s.Log.Sample(), s.Limits.Decisions),
 		proven:    guard.NewProven(provenLimit, provenLifetime),
 		backend:   back.NewClient(back.Config{MaxAnswer: s.Limits.AnswerBytes, Logger: c.Log}),
