Load the platform's data by stale reads, and wait less for peers at a restart

Cause: after a loss of all nodes those that were no seeds waited up to 0.6 s for one, and a load cost a call for each page.

--- a/conf/settings.go
+++ b/conf/settings.go
@@ -38,6 +38,8 @@
 	// Seeds are addresses of nodes at which others are found. Only their IP addresses count; the
 	// port is that of PeerAddress.
 	Seeds []netip.AddrPort `json:"Seeds,omitempty"`
+	// FirstStart is true when the whole fleet starts for the first time.
+	FirstStart bool `json:"FirstStart,omitempty"`
 	// DirectoryAddress tells callers which addresses to use, ReadyAddress whether this node is
 	// ready, and MetricsAddress serves metrics. They are used on deployments that ask for them.
 	DirectoryAddress netip.AddrPort `json:"DirectoryAddress,omitzero"`
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -38,8 +38,9 @@
 	blindAfter = 2
 	blindRetry = 2 * time.Second
 	// JoinTime is how long a node that has just started waits for the data of a peer before it
-	// reads the platform.
-	JoinTime = 600 * time.Millisecond
+	// reads the platform, and FirstJoinTime how long when the whole fleet starts for the first time.
+	JoinTime      = 200 * time.Millisecond
+	FirstJoinTime = 600 * time.Millisecond
 	// settleTime is how long a node that has just started knows too few others to trust its rank.
 	settleTime = 3 * time.Second
 )
@@ -49,7 +50,8 @@
 	// started is the start of the process.
 	started time.Time
 	// seed means that others start by asking this node, so that it reads at once.
-	seed bool
+	seed     bool
+	joinTime time.Duration
 	// stale is the age of the data from which a node that is no reader reads.
 	stale time.Duration
 	// at is the revision after which the next watch begins, 0 before the first load.
@@ -67,6 +69,8 @@
 	Started time.Time
 	// Seed means that other nodes start by asking this one.
 	Seed bool
+	// FirstStart means that the whole fleet starts, so that peers need time too.
+	FirstStart bool
 	// ApplyTime is the time in which a change must be in force; 0 means 5 s.
 	ApplyTime time.Duration
 }
@@ -76,7 +80,11 @@
 	if c.ApplyTime <= 0 {
 		c.ApplyTime = defaultApplyTime
 	}
-	return &Reader{started: c.Started, seed: c.Seed, stale: time.Duration(staleShare * float64(c.ApplyTime))}
+	r := &Reader{started: c.Started, seed: c.Seed, joinTime: JoinTime, stale: time.Duration(staleShare * float64(c.ApplyTime))}
+	if c.FirstStart {
+		r.joinTime = FirstJoinTime
+	}
+	return r
 }
 
 // Step is what a reader does next.
@@ -140,7 +148,7 @@
 // isDue reports whether the node reads the platform.
 func (r *Reader) isDue(now time.Time, in Input) bool {
 	if in.Revision == 0 {
-		return r.seed || now.Sub(r.started) >= JoinTime
+		return r.seed || now.Sub(r.started) >= r.joinTime
 	}
 	if in.Rank == 0 && (r.seed || now.Sub(r.started) >= settleTime) {
 		return true
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -37,11 +37,11 @@
 	reads atomic.Int64
 }
 
-func (s *turnedAway) Load(ctx context.Context) (feed.Delta, error) {
+func (s *turnedAway) Load(ctx context.Context, stale bool) (feed.Delta, error) {
 	if s.away.Load() {
 		return feed.Delta{}, stand.ErrPlatformDown
 	}
-	return s.Published.Load(ctx)
+	return s.Published.Load(ctx, stale)
 }
 
 func (s *turnedAway) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
--- a/node/node.go
+++ b/node/node.go
@@ -29,8 +29,8 @@
 
 // Source reads what the platform publishes. It is safe for concurrent use.
 type Source interface {
-	// Load reads everything.
-	Load(ctx context.Context) (feed.Delta, error)
+	// Load reads everything. A stale read is cheap, and may be seconds old.
+	Load(ctx context.Context, stale bool) (feed.Delta, error)
 	// Watch returns the changes after a revision as soon as there are any, and an empty delta when
 	// there are none within the wait. Its error is feed.ErrGone when the changes are no longer
 	// kept.
@@ -85,7 +85,7 @@
 		}),
 		feed: feed.NewState(), splitter: table.NewSplitter(),
 		reader: feed.NewReader(feed.ReaderConfig{
-			Started: time.Now(), Seed: isSeed(s), ApplyTime: s.Bounds.ApplyTime.Std(),
+			Started: time.Now(), Seed: isSeed(s), FirstStart: s.FirstStart, ApplyTime: s.Bounds.ApplyTime.Std(),
 		}),
 		calls: make(map[gather.JobID]*call), attempts: make(map[gather.AttemptID]context.CancelFunc),
 		relays: make(map[gather.RelayID]context.CancelFunc),
--- a/node/read.go
+++ b/node/read.go
@@ -40,7 +40,7 @@
 	var d feed.Delta
 	var err error
 	if p.Step == feed.Load {
-		d, err = n.config.Source.Load(ctx)
+		d, err = n.load(ctx)
 	} else {
 		d, err = n.config.Source.Watch(ctx, p.After, p.Wait)
 	}
@@ -68,6 +68,23 @@
 	n.peer.SetFeed(n.revision(), true)
 }
 
+// load reads everything: a stale read with the changes after it or, when these are no longer kept, a
+// full one.
+func (n *Node) load(ctx context.Context) (feed.Delta, error) {
+	source := n.config.Source
+	d, err := source.Load(ctx, true)
+	if err != nil {
+		return d, err
+	}
+	w, err := source.Watch(ctx, d.To, time.Millisecond)
+	if errors.Is(err, feed.ErrGone) {
+		return source.Load(ctx, false)
+	}
+	d.To = w.To
+	d.Changes = append(d.Changes, w.Changes...)
+	return d, err
+}
+
 func (n *Node) readFailed(now time.Time, err error) {
 	n.feedMu.Lock()
 	n.reader.Fail(now, err, rand.Float64())
--- a/stand/published.go
+++ b/stand/published.go
@@ -107,8 +107,8 @@
 	return p.reads
 }
 
-// Load reads everything.
-func (p *Published) Load(context.Context) (feed.Delta, error) {
+// Load reads everything. A stale read is as new as any.
+func (p *Published) Load(context.Context, bool) (feed.Delta, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.reads++
