Count shards that a server refused at a relay as arrivals

A server at a reused address answered 421 to relays, which reported the shard as never sent, so that the next send was not taken out of the retry budget. Relays now tell refused shards apart. Test: TestRelayReportsWhatHasArrived (failed before: the shard was declined). The property test of promises, extended by relays that refuse, found one more fault: a request that a relay had answered in part and that ended with too few shards was said not to have run.

--- a/gather/property_test.go
+++ b/gather/property_test.go
@@ -23,7 +23,9 @@
 	sentAt    map[AttemptID]time.Time
 	relays    map[RelayID]RelaySend
 	relayedAt map[RelayID]time.Time
-	jobs      map[JobID]*jobHistory
+	// pending are the shards of a relay of which it has reported nothing.
+	pending map[RelayID]map[int]bool
+	jobs    map[JobID]*jobHistory
 	// first are the times of requests by pool, and arrivals those of sends by server.
 	first    map[string][]time.Time
 	arrivals map[string][]time.Time
@@ -45,7 +47,8 @@
 		T: t, now: epoch, nodes: rapid.IntRange(1, 4).Draw(t, "nodes"),
 		budget: BudgetConfig{Ratio: 0.2, Slack: rapid.Float64Range(0, 12).Draw(t, "slack"), Window: 10 * time.Second},
 		open:   make(map[AttemptID]Send), sentAt: make(map[AttemptID]time.Time),
-		relays: make(map[RelayID]RelaySend), relayedAt: make(map[RelayID]time.Time), jobs: make(map[JobID]*jobHistory),
+		relays: make(map[RelayID]RelaySend), relayedAt: make(map[RelayID]time.Time),
+		pending: make(map[RelayID]map[int]bool), jobs: make(map[JobID]*jobHistory),
 		first: make(map[string][]time.Time), arrivals: make(map[string][]time.Time),
 	}
 	h.engine = New(Config{FailureDomain: here, Budget: h.budget, Seed: rapid.Uint64().Draw(t, "seed")})
@@ -114,6 +117,10 @@
 			h.arrive(j, i, "relay")
 		}
 		h.relays[s.Relay], h.relayedAt[s.Relay] = s, h.now
+		h.pending[s.Relay] = make(map[int]bool)
+		for _, i := range s.Tasks {
+			h.pending[s.Relay][i] = true
+		}
 	}
 	if act.Finished != nil {
 		j := h.jobs[id]
@@ -213,7 +220,7 @@
 		c := rapid.SampledFrom([]Class{Unsent, Broken, TimedOut}).Draw(h.T, "class")
 		if c == Unsent {
 			for _, i := range s.Tasks {
-				if j.reached[i]["relay"] {
+				if h.pending[id][i] {
 					h.leave(j, i, "relay", h.relayedAt[id])
 				}
 			}
@@ -223,13 +230,27 @@
 	}
 	var p RelayPart
 	for _, i := range s.Tasks {
-		switch rapid.IntRange(0, 3).Draw(h.T, "part") {
+		pending := h.pending[id][i]
+		switch rapid.IntRange(0, 5).Draw(h.T, "part") {
 		case 0:
 			p.Answered = append(p.Answered, i)
 			p.Latencies = append(p.Latencies, 10*time.Millisecond)
 		case 1:
 			p.Failed = append(p.Failed, i)
+		case 2:
+			p.Refused = append(p.Refused, i)
+			if pending {
+				delete(j.reached[i], "relay")
+			}
+		case 3:
+			p.Declined = append(p.Declined, i)
+			if pending {
+				h.leave(j, i, "relay", h.relayedAt[id])
+			}
+		default:
+			continue
 		}
+		delete(h.pending[id], i)
 	}
 	h.take(s.Job, h.engine.RelayDone(h.now, id, p))
 }
--- a/gather/relay.go
+++ b/gather/relay.go
@@ -31,11 +31,13 @@
 }
 
 // RelayPart is what a relay reports: the shards that its answer holds with the times that the servers
-// took, those that it has given up, and those that it has sent to no server.
+// took, those that it has given up, those that a server has refused, and those that it has sent to no
+// server.
 type RelayPart struct {
 	Answered  []int
 	Latencies []time.Duration
 	Failed    []int
+	Refused   []int
 	Declined  []int
 }
 
@@ -226,14 +228,18 @@
 		}
 	}
 	act.Accepted = open && len(p.Answered) > 0
-	for _, i := range p.Failed {
-		if a := r.attempts[i]; a != nil && !a.ended {
-			e.failRelayed(now, r, a, Result{Class: Broken, Detail: "relay gave up"}, &act)
-		}
-	}
-	for _, i := range p.Declined {
-		if a := r.attempts[i]; a != nil && !a.ended {
-			e.failRelayed(now, r, a, Result{Class: Unsent, Detail: "relay declined"}, &act)
+	for _, x := range []struct {
+		tasks  []int
+		result Result
+	}{
+		{p.Failed, Result{Class: Broken, Detail: "relay gave up"}},
+		{p.Refused, Result{Class: NotRun, Detail: "server refused the relay"}},
+		{p.Declined, Result{Class: Unsent, Detail: "relay declined"}},
+	} {
+		for _, i := range x.tasks {
+			if a := r.attempts[i]; a != nil && !a.ended {
+				e.failRelayed(now, r, a, x.result, &act)
+			}
 		}
 	}
 	if e.jobs[j.id] == j {
@@ -275,6 +281,7 @@
 
 func (e *Engine) endRelayed(now time.Time, r *relayCall, a *attempt, res Result) {
 	a.end(now, res.Class)
+	e.settle(a)
 	r.node.drop(a)
 	s := a.relayed()
 	if res.Class == OK {
@@ -309,7 +316,6 @@
 func (e *Engine) failRelayed(now time.Time, r *relayCall, a *attempt, res Result, act *Actions) {
 	e.endRelayed(now, r, a, res)
 	j, t := a.job, a.task
-	e.settle(a)
 	if e.jobs[j.id] == j && !t.answered && !t.lost {
 		e.afterFailure(now, t, res, act)
 	}
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -29,7 +29,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	delete(n.attempts, s.Attempt)
-	c.sent[s.Task] = c.sent[s.Task] || r.MayHaveRun
+	c.reached[s.Task] = max(c.reached[s.Task], reachOf(r))
 	class := classOf(seal, reply, r)
 	n.countAttempt(s.Purpose, class)
 	act := n.engine.Done(now, s.Attempt, gather.Result{
@@ -46,6 +46,17 @@
 	n.perform(now, c, act)
 }
 
+func reachOf(r back.Result) reach {
+	switch {
+	case r.MayHaveRun:
+		return mayHaveRun
+	case r.Class == back.Unsent:
+		return unsent
+	default:
+		return arrived
+	}
+}
+
 // classOf translates the end of an attempt. An answer counts as a success only with a seal.
 func classOf(seal string, reply *back.Reply, r back.Result) gather.Class {
 	switch r.Class {
--- a/node/relay.go
+++ b/node/relay.go
@@ -39,8 +39,9 @@
 	part := &Part{Body: p.Records, Seals: p.Seals}
 	answered, ok := tasksOf(s, p.Answered)
 	failed, okFailed := tasksOf(s, p.Failed)
+	refused, okRefused := tasksOf(s, p.Refused)
 	declined, okDeclined := tasksOf(s, p.Declined)
-	if !ok || !okFailed || !okDeclined || len(p.Seals) != len(p.Answered) || len(p.Latencies) != len(p.Answered) {
+	if !ok || !okFailed || !okRefused || !okDeclined || len(p.Seals) != len(p.Answered) || len(p.Latencies) != len(p.Answered) {
 		n.log.Warn("part of a relay dropped", "RequestId", c.forward.RequestID, "Peer", s.Address)
 		return
 	}
@@ -48,7 +49,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	act := n.engine.RelayDone(now, s.Relay, gather.RelayPart{
-		Answered: answered, Latencies: durations(p.Latencies), Failed: failed, Declined: declined,
+		Answered: answered, Latencies: durations(p.Latencies), Failed: failed, Refused: refused, Declined: declined,
 	})
 	if n.calls[c.id] != c {
 		n.performAll(now, act)
@@ -195,15 +196,18 @@
 		}
 	}
 	for _, i := range s.lost {
-		if s.call.sent[i] {
+		switch s.call.reached[i] {
+		case mayHaveRun:
 			p.Failed = append(p.Failed, i)
-		} else {
+		case arrived:
+			p.Refused = append(p.Refused, i)
+		default:
 			p.Declined = append(p.Declined, i)
 		}
 	}
 	s.lost = nil
 	n.mu.Unlock()
-	if len(p.Answered)+len(p.Failed)+len(p.Declined) == 0 {
+	if len(p.Answered)+len(p.Failed)+len(p.Refused)+len(p.Declined) == 0 {
 		return nil
 	}
 	p.Records = gather.TopK(bodies, s.call.topK)
--- /dev/null
+++ b/node/relay_test.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusthread/arbutusthread/feed"
+	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// Guards against a relay that says it has sent nothing although a server has refused the shard: the asking
+// node would not count the arrival in its retry budget. Guards also against answers, faults and shards
+// without a server that are reported as something else.
+func TestRelayReportsWhatHasArrived(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	published, members := newFleet(t, 86, "lukang")
+	m := members[0]
+	servers := make(map[string]*stand.RoutedServer)
+	for _, service := range []string{"answers", "refuses", "breaks"} {
+		s, err := stand.NewRoutedServer(netip.MustParseAddrPort("127.0.0.1:0"), stand.RoutedConfig{ID: service})
+		is.NoErr(err)
+		defer s.Close()
+		servers[service] = s
+		published.PutServer(feed.Server{ID: service, Service: service, Address: s.Address(), FailureDomain: "lukang", Slots: 2})
+	}
+	published.PutServer(feed.Server{
+		ID: "far", Service: "elsewhere", Address: netip.MustParseAddrPort("127.0.0.1:9"), FailureDomain: "yilan", Slots: 2,
+	})
+	servers["refuses"].SetID("another")
+	servers["breaks"].SetFaults(stand.RoutedFaults{Lose: 1})
+	published.SetConfig(config("answers", "refuses", "breaks", "elsewhere"))
+	until(t, "the servers are known", settle, func() bool {
+		return has(m, "elsewhere") && len(m.Status().Servers) == 4
+	})
+
+	var all wire.GatherPart
+	q := &wire.GatherQuery{
+		RequestID: "r1", Pools: []string{"answers", "refuses", "breaks", "elsewhere"}, Class: "r", TopK: 3,
+		ReplyIn: 500, Timeout: 1000, Method: http.MethodGet, URI: "/x", Host: "h",
+	}
+	err := m.gather(context.Background(), q, func(p wire.GatherPart) error {
+		all.Answered = append(all.Answered, p.Answered...)
+		all.Refused = append(all.Refused, p.Refused...)
+		all.Failed = append(all.Failed, p.Failed...)
+		all.Declined = append(all.Declined, p.Declined...)
+		all.Records = append(all.Records, p.Records...)
+		all.Seals = append(all.Seals, p.Seals...)
+		return nil
+	})
+	is.NoErr(err)
+	is.Equal(all.Answered, []int{0})
+	is.Equal(all.Refused, []int{1})
+	is.Equal(all.Failed, []int{2})
+	is.Equal(all.Declined, []int{3})
+	is.Equal(all.Seals, []string{stand.Seal("answers", "r1")})
+	is.True(slices.Equal(all.Records, gather.TopK([][]byte{stand.Body("answers", "/x", 8)}, 3)))
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -44,6 +44,17 @@
 	Latency time.Duration
 }
 
+// reach is how far a shard of a request has come.
+type reach int
+
+const (
+	// unsent means that no byte has been sent to a server, arrived that a server has refused it, and
+	// mayHaveRun that a server may have run it.
+	unsent reach = iota
+	arrived
+	mayHaveRun
+)
+
 // call is a request in progress.
 type call struct {
 	job     gather.Request
@@ -52,9 +63,9 @@
 	id      gather.JobID
 	// parts has the accepted part of each shard.
 	parts []*Part
-	// sent tells which shards may have reached a server.
-	sent []bool
-	done chan gather.Finished
+	// reached tells how far each shard has come.
+	reached []reach
+	done    chan gather.Finished
 	// progress is called under the node's lock when shards have been answered or lost.
 	progress func(lost []int)
 	timer    *time.Timer
@@ -85,7 +96,7 @@
 // run serves a call to its end. When ctx ends first the call is abandoned.
 func (n *Node) run(ctx context.Context, c *call) (gather.Finished, error) {
 	c.parts = make([]*Part, len(c.job.Pools))
-	c.sent = make([]bool, len(c.job.Pools))
+	c.reached = make([]reach, len(c.job.Pools))
 	c.done = make(chan gather.Finished, 1)
 	n.mu.Lock()
 	now := time.Now()
--- a/wire/gather.go
+++ b/wire/gather.go
@@ -30,8 +30,9 @@
 	Records []byte `cbor:"3,keyasint,omitempty"`
 	// Latencies are the times in milliseconds that the servers took for Answered, at most 255.
 	Latencies []byte `cbor:"4,keyasint,omitempty"`
-	// Failed are the indexes of shards that the relay has given up, and Declined those that it has
-	// sent to no server.
+	// Failed are the indexes of shards that the relay has given up, Refused those of which a server
+	// said that it has not run them, and Declined those that the relay has sent to no server.
 	Failed   []int `cbor:"5,keyasint,omitempty"`
 	Declined []int `cbor:"6,keyasint,omitempty"`
+	Refused  []int `cbor:"7,keyasint,omitempty"`
 }
