Refuse requests that crash servers at all nodes, and take changed settings over without a restart

A request that was at two servers when they crashed, and has not succeeded since, is refused as not run for 10 minutes; nodes tell each other of crashes. SIGHUP and a look at the file every 2 s take seeds and bounds over; settings with faults are reported and change nothing. Ruled out: canary requests before each query, which cost a round trip inside a target of 50 to 120 ms.

--- a/gather/engine.go
+++ b/gather/engine.go
@@ -198,6 +198,16 @@
 	Detail  string
 }
 
+// SetBudget changes the bounds of hedges and retries. A window of another length begins anew.
+func (e *Engine) SetBudget(c BudgetConfig) {
+	if c.Window != e.config.Budget.Window {
+		for _, p := range e.pools {
+			p.budget = budget{}
+		}
+	}
+	e.config.Budget = c
+}
+
 // SetNodes tells how many nodes share the servers. Budgets and cold rates are divided by it.
 func (e *Engine) SetNodes(n int) { e.nodes = max(1, n) }
 
--- /dev/null
+++ b/guard/blame_test.go
@@ -0,0 +1,78 @@
+package guard
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func blameServer(i byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, i}), 80)
+}
+
+// Guards against a request that crashes one server after the other.
+func TestCrashingRequestIsRefused(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	b, peer := NewBlame(), NewBlame()
+	for i := range byte(crashesToRefuse) {
+		is.True(!b.Refuses(now, 7))
+		b.Broke(now, 7, blameServer(i))
+		for _, n := range b.Down(now.Add(time.Second), blameServer(i)) {
+			is.True(peer.Merge(now, n))
+			is.True(!peer.Merge(now, n))
+		}
+	}
+	is.True(b.Refuses(now, 7))
+	is.True(peer.Refuses(now, 7)) // at any node
+	is.True(!b.Refuses(now.Add(refuseTime+time.Second), 7))
+}
+
+// Guards against an ordinary request that is refused because it was at servers that crashed, or whose
+// answers were lost.
+func TestOrdinaryRequestsAreNotRefused(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1_800_000_000, 0)
+	for name, events := range map[string]func(*Blame, byte){
+		"the server lives": func(b *Blame, i byte) { b.Broke(now, 7, blameServer(i)) },
+		"the server goes down later": func(b *Blame, i byte) {
+			b.Broke(now, 7, blameServer(i))
+			b.Down(now.Add(blameTime+1), blameServer(i))
+		},
+		"it succeeds elsewhere": func(b *Blame, i byte) {
+			b.Broke(now, 7, blameServer(i))
+			b.Down(now, blameServer(i))
+			b.Succeeded(now, 7)
+		},
+		"the same server crashes again": func(b *Blame, _ byte) {
+			b.Broke(now, 7, blameServer(1))
+			b.Down(now, blameServer(1))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := NewBlame()
+			for i := range byte(10) {
+				events(b, i)
+			}
+			is.True(!b.Refuses(now, 7))
+		})
+	}
+}
+
+// Guards against late news of a crash that blames a request again which has succeeded since.
+func TestSuccessOutlastsLateNews(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	b := NewBlame()
+	note := func(i byte) CrashNote { return CrashNote{7, Crash{Server: blameServer(i), At: now}} }
+	is.True(b.Merge(now, note(1)))
+	b.Succeeded(now.Add(time.Second), 7)
+	is.True(!b.Merge(now.Add(2*time.Second), note(2)))
+	b.Expire(now.Add(time.Hour))
+	is.Equal(len(b.cleared), 0)
+}
--- a/node.go
+++ b/node.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/peterbourgon/ff/v4"
 
-	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/front"
 	"github.com/arbutusthread/arbutusthread/logs"
 	"github.com/arbutusthread/arbutusthread/node"
@@ -48,7 +44,7 @@
 	if c.config == "" {
 		return usagef("--config is required")
 	}
-	settings, err := c.load()
+	b, settings, err := c.loadSettings(c.config)
 	if err != nil {
 		return err
 	}
@@ -61,9 +57,9 @@
 	if err != nil {
 		return err
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+	go newSettingsWatch(settingsWatch{
+		read: func() ([]byte, error) { return c.readFile(c.config) }, apply: n.Reload, log: log, last: b,
+	}).run(ctx)
 	handler := front.NewHandler(front.Config{Backend: n, Headers: platform.Headers(), Metrics: n.Metrics(), Log: log})
 	log.Info("node starts", "FailureDomain", settings.FailureDomain, "CallerAddress", settings.CallerAddress)
 	return front.Serve(ctx, &front.Runtime{
@@ -85,18 +81,3 @@
 	}
 	return t.Config().Limits
 }
-
-func (c *router) load() (*conf.Settings, error) {
-	b, err := c.readFile(c.config)
-	if err != nil {
-		return nil, err
-	}
-	settings, err := conf.ParseSettings(b)
-	if err != nil {
-		return nil, exitWith(exitInvalid, err)
-	}
-	if err := settings.Check().Err(); err != nil {
-		return nil, exitWith(exitInvalid, err)
-	}
-	return settings, nil
-}
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -32,6 +32,7 @@
 	c.reached[s.Task] = max(c.reached[s.Task], reachOf(r))
 	class := classOf(seal, reply, r)
 	n.countAttempt(s.Purpose, class)
+	n.blameAttempt(now, c, s.Server.Address, class, r)
 	act := n.engine.Done(now, s.Attempt, gather.Result{
 		Class: class, Latency: r.Latency, ColdFor: r.ColdFor, Detail: r.Message,
 	})
--- a/node/install.go
+++ b/node/install.go
@@ -94,7 +94,7 @@
 		// Callers that kept the address of this node must not take connections from the others.
 		nodes = len(members)
 	}
-	nodes = max(nodes, len(n.config.Settings.Seeds), 1)
+	nodes = max(nodes, len(n.settings.Load().Seeds), 1)
 	byName := make(map[string]int)
 	var pools []gather.Pool
 	for name := range servicesOf(t, v) {
@@ -151,7 +151,7 @@
 	if s.ColdRate <= 0 {
 		return 0
 	}
-	b := n.config.Settings.Bounds
+	b := n.settings.Load().Bounds
 	return s.ColdRate*b.ColdOvershoot + b.ColdSlack
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -66,7 +66,9 @@
 		m.Gauge("members", float64(count), "state", string(s))
 	}
 	n.mu.Lock()
-	load := n.engine.Load(time.Now())
+	now := time.Now()
+	load := n.engine.Load(now)
+	n.blame.Expire(now)
 	n.mu.Unlock()
 	m.Gauge("requests_open", float64(load.Requests))
 	m.Gauge("attempts_open", float64(load.Attempts))
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/guard"
 	"github.com/arbutusthread/arbutusthread/meter"
 	"github.com/arbutusthread/arbutusthread/peer"
 	"github.com/arbutusthread/arbutusthread/place"
@@ -50,9 +51,11 @@
 	config  Config
 	log     *slog.Logger
 	metrics *meter.Metrics
-	peer    *peer.Node
-	backend *back.Client
-	table   atomic.Pointer[table.Table]
+	// settings are those in force; they change by Reload.
+	settings atomic.Pointer[conf.Settings]
+	peer     *peer.Node
+	backend  *back.Client
+	table    atomic.Pointer[table.Table]
 	// servers are the failure domains in which services have servers.
 	servers atomic.Pointer[place.Servers]
 
@@ -68,6 +71,7 @@
 	attempts map[gather.AttemptID]context.CancelFunc
 	relays   map[gather.RelayID]context.CancelFunc
 	attemptCounters
+	blame *guard.Blame
 
 	statusMu sync.Mutex
 	status   fleet.Status
@@ -80,6 +84,7 @@
 	s := c.Settings
 	n := &Node{
 		config: c, log: c.Log, metrics: meter.New(s.Name, s.FailureDomain), attemptCounters: make(attemptCounters),
+		blame: guard.NewBlame(),
 		backend: back.NewClient(back.Config{
 			MaxAnswer: s.Limits.AnswerBytes, Headers: c.Headers, Logger: c.Log,
 		}),
@@ -91,11 +96,10 @@
 		relays: make(map[gather.RelayID]context.CancelFunc),
 		engine: gather.New(gather.Config{
 			FailureDomain: s.FailureDomain, Seed: rand.Uint64(),
-			Budget: gather.BudgetConfig{
-				Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow.Std(),
-			},
+			Budget: budgetOf(s),
 		}),
 	}
+	n.settings.Store(s)
 	n.expiry = time.AfterFunc(time.Hour, n.expire)
 	p, err := peer.New(peer.Config{
 		Member: fleet.Member{
@@ -114,6 +118,24 @@
 	return n, nil
 }
 
+func budgetOf(s *conf.Settings) gather.BudgetConfig {
+	b := s.Bounds
+	return gather.BudgetConfig{Ratio: b.RetryRatio, Slack: b.RetrySlack, Window: b.RetryWindow.Std()}
+}
+
+// Reload takes over the seeds and bounds of new settings, which must have passed their check. Addresses
+// and names need a restart.
+func (n *Node) Reload(s *conf.Settings) {
+	next := *n.settings.Load()
+	next.Seeds, next.Bounds = s.Seeds, s.Bounds
+	n.settings.Store(&next)
+	n.peer.SetSeeds(seedAddresses(&next))
+	n.mu.Lock()
+	n.engine.SetBudget(budgetOf(&next))
+	n.mu.Unlock()
+	n.install(time.Now())
+}
+
 // heartbeat is the time between two heartbeats to a node. A dead node is known after four of them,
 // which is below the time for which callers keep an answer with its address.
 const heartbeat = 300 * time.Millisecond
@@ -182,6 +204,8 @@
 	case fleet.MemberUp, fleet.MemberLeaving, fleet.MemberDown:
 		n.log.Info("member changed", "Event", e.Kind, "Peer", e.Member.Address, "FailureDomain", e.Member.FailureDomain)
 		n.countNodes()
+	case fleet.NoteReceived:
+		n.noted(e.Note)
 	}
 }
 
--- a/node/place.go
+++ b/node/place.go
@@ -46,5 +46,5 @@
 			named[x.Address] = true
 		}
 	}
-	return len(named), named[n.config.Settings.CallerAddress]
+	return len(named), named[n.settings.Load().CallerAddress]
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -217,7 +217,7 @@
 // relaysOf returns the nodes that may relay for this one: those of its region in other failure
 // domains.
 func (n *Node) relaysOf(members []fleet.Member) []gather.Relay {
-	s := n.config.Settings
+	s := n.settings.Load()
 	var relays []gather.Relay
 	for _, m := range members {
 		if m.State == fleet.StateAlive && m.Region == s.Region && m.FailureDomain != s.FailureDomain {
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/arbutusthread/arbutusthread/back"
 	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/gather"
 	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/table"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
 
@@ -63,3 +67,63 @@
 	is.Equal(all.Seals, []string{stand.Seal("answers", "r1")})
 	is.True(slices.Equal(all.Records, gather.TopK([][]byte{stand.Body("answers", "/x", 8)}, 3)))
 }
+
+// Guards against a request that crashes one server after the other, at any node.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	published, members := newFleet(t, 87, "lukang", "lukang")
+	var servers []*stand.RoutedServer
+	for i := range 6 {
+		id := fmt.Sprint("i-", i)
+		s, err := stand.NewRoutedServer(netip.MustParseAddrPort("127.0.0.1:0"), stand.RoutedConfig{ID: id})
+		is.NoErr(err)
+		defer s.Close()
+		servers = append(servers, s)
+		published.PutServer(feed.Server{ID: id, Service: "s", Address: s.Address(), FailureDomain: "lukang", Slots: 2})
+	}
+	c := config("s")
+	c.Routes = []table.Route{{
+		Name: "r", Host: "h", Prefix: "/", Idempotent: true, MaxAttempts: 2, Targets: []table.Target{{Service: "s", Weight: 1}},
+	}}
+	published.SetConfig(c)
+	for _, m := range members {
+		until(t, "the servers are known", settle, func() bool { return has(m, "s") && len(m.Status().Servers) == 6 })
+	}
+	call := func(m *member, uri string) Outcome {
+		out, err := m.Serve(t.Context(), &Request{
+			Route: &m.Table().Config().Routes[0], Deadline: time.Now().Add(300 * time.Millisecond),
+			Forward: back.Forward{Method: http.MethodGet, URI: uri, Host: "h", RequestID: "r"},
+		})
+		is.NoErr(err)
+		return out
+	}
+	crash := func(s *stand.RoutedServer) bool {
+		for _, run := range s.Runs() {
+			if run.URI == "/poison" {
+				s.Close()
+				return true
+			}
+		}
+		return false
+	}
+	for _, s := range servers {
+		s.SetFaults(stand.RoutedFaults{LoseURI: "/poison"})
+	}
+	crashed := 0
+	for i := range 12 {
+		call(members[i%2], "/poison")
+		crashed = 0
+		for _, s := range servers {
+			if crash(s) {
+				crashed++
+			}
+		}
+		call(members[i%2], fmt.Sprint("/", i)) // finds the server down
+		call(members[i%2], fmt.Sprint("/", i))
+	}
+	is.True(crashed <= 4)
+	is.Equal(call(members[0], "/poison").End, gather.Refused)
+	until(t, "the other node refuses it too", settle, func() bool { return call(members[1], "/poison").End == gather.Refused })
+	is.Equal(call(members[0], "/other").End, gather.Complete)
+}
--- a/node/serve.go
+++ b/node/serve.go
@@ -6,6 +6,7 @@
 
 	"github.com/arbutusthread/arbutusthread/back"
 	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/guard"
 	"github.com/arbutusthread/arbutusthread/table"
 )
 
@@ -59,6 +60,7 @@
 type call struct {
 	job     gather.Request
 	forward back.Forward
+	print   guard.Fingerprint
 	topK    int
 	id      gather.JobID
 	// parts has the accepted part of each shard.
@@ -98,8 +100,13 @@
 	c.parts = make([]*Part, len(c.job.Pools))
 	c.reached = make([]reach, len(c.job.Pools))
 	c.done = make(chan gather.Finished, 1)
+	c.print = fingerprint(&c.forward)
 	n.mu.Lock()
 	now := time.Now()
+	if f, refused := n.refuses(now, c); refused {
+		n.mu.Unlock()
+		return f, nil
+	}
 	id, act := n.engine.Submit(now, c.job)
 	c.id = id
 	n.calls[id] = c
--- a/node/status.go
+++ b/node/status.go
@@ -33,7 +33,7 @@
 func (n *Node) Status() Status {
 	p := n.position()
 	s := Status{
-		Name: n.config.Settings.Name, FailureDomain: n.config.Settings.FailureDomain, Ready: n.Ready(),
+		Name: n.settings.Load().Name, FailureDomain: n.settings.Load().FailureDomain, Ready: n.Ready(),
 		Stopping: n.stopping.Load(), ConfigVersion: p.Version, Revision: p.Revision, Reads: n.peer.ReaderRank() == 0,
 		Blind: n.peer.Self().Blind, Members: n.peer.Members(), Control: n.peer.Counters(),
 	}
--- /dev/null
+++ b/reload.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+)
+
+// settingsCheck is the time between two looks at the settings file, which may change without a signal.
+const settingsCheck = 2 * time.Second
+
+// settingsWatch takes changes of a settings file over.
+type settingsWatch struct {
+	read  func() ([]byte, error)
+	apply func(*conf.Settings)
+	log   *slog.Logger
+	last  []byte
+	hup   chan os.Signal
+}
+
+// newSettingsWatch returns a watch that has begun to catch SIGHUP, which would end the process.
+func newSettingsWatch(w settingsWatch) *settingsWatch {
+	w.hup = make(chan os.Signal, 1)
+	signal.Notify(w.hup, syscall.SIGHUP)
+	return &w
+}
+
+// run looks at the file at each SIGHUP and now and then until ctx ends.
+func (w *settingsWatch) run(ctx context.Context) {
+	defer signal.Stop(w.hup)
+	t := time.NewTicker(settingsCheck)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.hup:
+			w.log.Info("settings are read again", "Cause", "SIGHUP")
+		case <-t.C:
+		}
+		w.check()
+	}
+}
+
+// check takes the settings over if they have changed. Settings with faults change nothing and are
+// reported once.
+func (w *settingsWatch) check() {
+	b, err := w.read()
+	if err != nil {
+		w.log.Warn("settings cannot be read", "Error", err)
+		return
+	}
+	if bytes.Equal(b, w.last) {
+		return
+	}
+	w.last = b
+	s, err := conf.ParseSettings(b)
+	if err == nil {
+		err = s.Check().Err()
+	}
+	if err != nil {
+		w.log.Error("settings are not taken over", "Error", err)
+		return
+	}
+	w.apply(s)
+	w.log.Info("settings reloaded")
+}
--- a/serve.go
+++ b/serve.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
 
-	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/serve"
 	"github.com/arbutusthread/arbutusthread/trial"
 )
@@ -50,7 +49,7 @@
 	if c.settings == "" {
 		return usagef("--settings is required")
 	}
-	settings, err := c.load()
+	_, settings, err := c.loadSettings(c.settings)
 	if err != nil {
 		return err
 	}
@@ -75,21 +74,6 @@
 	return runNode(ctx, n)
 }
 
-func (c *server) load() (*conf.Settings, error) {
-	b, err := c.readFile(c.settings)
-	if err != nil {
-		return nil, err
-	}
-	settings, err := conf.ParseSettings(b)
-	if err != nil {
-		return nil, exitWith(exitInvalid, err)
-	}
-	if err := settings.Check().Err(); err != nil {
-		return nil, exitWith(exitInvalid, err)
-	}
-	return settings, nil
-}
-
 // runNode runs the node until it has stopped. The context ends at the first signal.
 func runNode(ctx context.Context, n *serve.Node) error {
 	running, cut := context.WithCancel(context.WithoutCancel(ctx))
--- a/shell.go
+++ b/shell.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"github.com/arbutusthread/arbutusthread/conf"
 )
 
 // shell is what all commands share: the standard streams and the form of output.
@@ -65,6 +67,22 @@
 	return b, errors.Wrap(err, "read file")
 }
 
+// loadSettings reads and checks a settings file, and returns its text too.
+func (s *shell) loadSettings(name string) ([]byte, *conf.Settings, error) {
+	b, err := s.readFile(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	settings, err := conf.ParseSettings(b)
+	if err == nil {
+		err = settings.Check().Err()
+	}
+	if err != nil {
+		return nil, nil, exitWith(exitInvalid, err)
+	}
+	return b, settings, nil
+}
+
 // wantArgs checks the number of arguments. The flag library stops at the first argument, so a
 // flag behind it would be taken for an argument.
 func wantArgs(args []string, low, high int, what string) error {
--- a/stand/routed.go
+++ b/stand/routed.go
@@ -48,6 +48,8 @@
 	Extra, Unframed, Encoded float64
 	// Fail is the share of requests that are answered 500.
 	Fail float64
+	// LoseURI loses the answers to requests for a path.
+	LoseURI string
 	// Early answers requests with a body before it has been read.
 	Early bool
 	// Slow is added to the time that a request takes.
@@ -265,7 +267,7 @@
 	defer func() { <-s.slots }()
 	run := s.begin(r, body)
 	d := s.draw()
-	if !s.spend(c, in, run, d) || d.lose || d.hang {
+	if !s.spend(c, in, run, d) || d.lose || d.hang || d.LoseURI != "" && r.RequestURI == d.LoseURI {
 		reset(c)
 		return false
 	}
