Send nothing more to a server whose address another one has taken

The crashed server's entry is listed for 3 heartbeats more, and an ejected server was still used where it was the only one left. A server that has been replaced gets nothing until its entry names another start, and an address belongs to the entry that was written last. Requests that are given up reset their connection, so that bytes held up by a partition do not arrive later. Nodes use 90% of the retry budget, since the windows of the bound begin at other times. Ruled out: swinging traffic (TestBudgetUnderSwingingTraffic passes with the whole budget), relays, dials. Log lines are written whole, 4,096 bytes at most at once, since longer writes were mixed up on a pipe.

--- a/back/forward.go
+++ b/back/forward.go
@@ -102,7 +102,7 @@
 	written, err := c.send(head, f.Body)
 	if err != nil && c.written == before {
 		stop()
-		p.discard(c)
+		p.discard(c, true)
 		r.Reset = r.Fresh && errors.Is(err, syscall.ECONNRESET)
 		r.fail(Unsent, errors.Wrapf(err, "back: write to %s", p.host).Error())
 		return nil, !r.Fresh && !isTimeout(err) && ctx.Err() == nil
@@ -123,7 +123,7 @@
 	if err == nil && reusable && stopped && written() && r.Class != Invalid {
 		p.put(c)
 	} else {
-		p.discard(c)
+		p.discard(c, err != nil)
 	}
 	return reply, false
 }
--- a/back/pool.go
+++ b/back/pool.go
@@ -230,8 +230,12 @@
 	p.dialLocked()
 }
 
-// discard closes a connection at once.
-func (p *pool) discard(c *conn) {
+// discard closes a connection at once. A connection with a request that is given up is reset: bytes
+// that a partition holds up would otherwise reach the server when it heals.
+func (p *pool) discard(c *conn, givenUp bool) {
+	if givenUp {
+		_ = c.raw.SetLinger(0)
+	}
 	_ = c.raw.Close()
 	p.release()
 }
--- a/feed/change.go
+++ b/feed/change.go
@@ -50,8 +50,12 @@
 	In  string `json:"In,omitempty"`
 }
 
-// keyConfig is the key of changes of the configuration.
-const keyConfig = "config"
+// Keys of changes: that of the configuration, and the prefixes of those of servers and failure domains.
+const (
+	keyConfig = "config"
+	keyServer = "server/"
+	keyDomain = "domain/"
+)
 
 // key identifies what the change is about.
 func (c *Change) key() string {
@@ -59,11 +63,11 @@
 	case c.Config != nil, c.Patch != nil:
 		return keyConfig
 	case c.Server != nil:
-		return "server/" + c.Server.ID
+		return keyServer + c.Server.ID
 	case c.Removed != "":
-		return "server/" + c.Removed
+		return keyServer + c.Removed
 	default:
-		return "domain/" + c.Out + c.In
+		return keyDomain + c.Out + c.In
 	}
 }
 
--- a/feed/state.go
+++ b/feed/state.go
@@ -229,7 +229,7 @@
 	for len(s.gone) > 0 && now.Sub(s.gone[0].at) > tombstoneTime {
 		key := s.gone[0].key
 		s.gone = s.gone[1:]
-		if s.servers[key[len("server/"):]] == nil {
+		if s.servers[key[len(keyServer):]] == nil {
 			delete(s.revisions, key)
 		}
 	}
--- a/feed/view.go
+++ b/feed/view.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/arbutusthread/arbutusthread/table"
@@ -30,8 +31,12 @@
 // View returns what is in force now.
 func (s *State) View(now time.Time) View {
 	v := View{Config: s.config, Out: make(map[string]bool, len(s.out))}
+	holders := s.holders()
 	for _, id := range sortedKeys(s.servers) {
 		e := s.servers[id]
+		if holders[e.Address] != id {
+			continue
+		}
 		if !e.heldUntil.IsZero() {
 			if !now.Before(e.heldUntil) {
 				delete(s.servers, id)
@@ -52,3 +57,16 @@
 	}
 	return v
 }
+
+// holders returns the server that holds each address: the one that was written last. Entries of servers
+// that are gone may stay for a while after their address has been given to another one.
+func (s *State) holders() map[netip.AddrPort]string {
+	holders := make(map[netip.AddrPort]string, len(s.servers))
+	for id, e := range s.servers {
+		other, taken := holders[e.Address]
+		if !taken || s.revisions[keyServer+id] > s.revisions[keyServer+other] {
+			holders[e.Address] = id
+		}
+	}
+	return holders
+}
--- a/gather/budget.go
+++ b/gather/budget.go
@@ -15,6 +15,10 @@
 // counted, so that a budget is never above the bound.
 const bucketsPerWindow = 20
 
+// budgetShare is the part of the bound that is used. The bound's windows begin at other times than those
+// of this node, and hold fewer requests when the traffic swings.
+const budgetShare = 0.9
+
 // budget counts the requests and extra arrivals of one pool in a sliding window.
 type budget struct {
 	first [bucketsPerWindow + 1]int
@@ -61,7 +65,7 @@
 	}
 	// The oldest bucket is in the window only in part.
 	first -= b.first[(b.last+1)%int64(len(b.first))]
-	if float64(extra+1) > c.Ratio*float64(first)+c.Slack/float64(nodes) {
+	if float64(extra+1) > budgetShare*(c.Ratio*float64(first)+c.Slack/float64(nodes)) {
 		return false
 	}
 	b.extra[b.last%int64(len(b.extra))]++
--- a/gather/choose.go
+++ b/gather/choose.go
@@ -51,7 +51,9 @@
 }
 
 // usable reports whether the server may get another request from this node.
-func (e *Engine) usable(now time.Time, s *server) bool { return !s.Draining && s.hasRoom(now, e.nodes) }
+func (e *Engine) usable(now time.Time, s *server) bool {
+	return s.isListed() && s.hasRoom(now, e.nodes)
+}
 
 // hasRoom reports whether a connection, room at the server and, in a cold start, a part of its rate
 // is left.
--- a/gather/engine_test.go
+++ b/gather/engine_test.go
@@ -263,6 +263,26 @@
 	is.Equal(f.submit(f.request("a")).Finished.End, Refused)
 }
 
+// Guards against requests that go on to an address which another server has taken, and against a server
+// that stays unused after it has started again under its ID.
+func TestReplacedServerGetsNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture(Config{})
+	p := pair("a")
+	p.Servers = p.Servers[:1]
+	f.SetPools(f.now, []Pool{p})
+	act := f.submit(f.request("a"))
+	f.done(act.Sends[0], OtherServer)
+	f.after(lastEjection)
+	is.Equal(f.submit(f.request("a")).Finished.End, Refused)
+	f.SetPools(f.now, []Pool{p})
+	is.Equal(f.submit(f.request("a")).Finished.End, Refused)
+	p.Servers[0].Born = f.now
+	f.SetPools(f.now, []Pool{p})
+	is.Equal(len(f.submit(f.request("a")).Sends), 1)
+}
+
 // Guards against more connections to a server than this node's share, and against requests that are
 // lost or overtaken by less urgent ones while they wait.
 func TestRequestsWaitForRoom(t *testing.T) {
--- a/gather/job.go
+++ b/gather/job.go
@@ -180,9 +180,9 @@
 	j := t.job
 	s := e.choose(now, j, t.pool, t)
 	switch {
-	case s == nil && j.Relayed:
-		// The node that asked can reach other servers.
-		j.lose(t, "no server of "+t.pool.name+" has room", act)
+	case s == nil && (j.Relayed || !t.pool.hasServers()):
+		// The node that asked a relay can reach other servers.
+		j.lose(t, "no server of "+t.pool.name+" can take it", act)
 	case s == nil:
 		e.wait(t, time.Time{})
 	case !e.afford(now, t):
@@ -307,7 +307,10 @@
 		s.answeredAt = now
 		s.observe(now, shedSlowness)
 		s.shed(now)
-	case OtherServer, Unsent:
+	case OtherServer:
+		s.replaced = true
+		act.Events = append(act.Events, Event{Name: "server replaced", Pool: s.pool.name, Server: s.ID, Detail: r.Detail})
+	case Unsent:
 		e.ejectAfter(now, s, true, r, act)
 	case Broken:
 		e.ejectAfter(now, s, false, r, act)
--- a/gather/relay.go
+++ b/gather/relay.go
@@ -302,7 +302,7 @@
 func (a *attempt) relayed() *server {
 	var only *server
 	for _, s := range a.task.pool.servers {
-		if s.FailureDomain != a.domain || s.Draining {
+		if s.FailureDomain != a.domain || !s.isListed() {
 			continue
 		}
 		if only != nil {
--- a/gather/server.go
+++ b/gather/server.go
@@ -24,6 +24,8 @@
 	ColdRate  float64
 	// Draining servers get no new work.
 	Draining bool
+	// Born is the start of the server process, which may start again under its ID.
+	Born time.Time
 }
 
 // Pool is a set of servers that answer equally well.
@@ -47,13 +49,16 @@
 		return false
 	}
 	for _, s := range p.servers {
-		if !s.Draining {
+		if s.isListed() {
 			return true
 		}
 	}
 	return false
 }
 
+// isListed reports whether the server takes new work, now or later.
+func (s *server) isListed() bool { return !s.Draining && !s.replaced }
+
 // server is what the engine knows of a backend server.
 type server struct {
 	Server
@@ -65,6 +70,8 @@
 	window int
 	// fullUntil is set when the server has refused a request.
 	fullUntil time.Time
+	// replaced means that another process has answered at the address, so that this one is gone.
+	replaced bool
 	// absentSince is when the server was last taken off the list.
 	absentSince time.Time
 }
@@ -119,6 +126,9 @@
 		// What the server said of itself is newer than what the platform lists.
 		v.ColdUntil = s.Server.ColdUntil
 	}
+	if !v.Born.Equal(s.Born) {
+		s.replaced = false
+	}
 	s.Server, s.pool = v, p
 }
 
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -19,6 +19,9 @@
 	flushEvery = 50 * time.Millisecond
 	// maxPending bounds the bytes that wait for the output.
 	maxPending = 1 << 20
+	// atomicWrite is PIPE_BUF of Linux: writes of up to so many bytes to a pipe are not mixed with those
+	// of other processes.
+	atomicWrite = 4096
 	// closeTime bounds the wait for the output at the end.
 	closeTime = time.Second
 )
@@ -146,11 +149,23 @@
 		l := slog.New(slog.NewJSONHandler(batch, nil))
 		l.Warn("log lines dropped", "Lines", lost)
 	}
-	if batch.Len() > 0 {
-		_, _ = o.config.Output.Write(batch.Bytes())
+	for batch.Len() > 0 {
+		_, _ = o.config.Output.Write(batch.Next(wholeLines(batch.Bytes())))
 	}
 }
 
+// wholeLines returns the length of the longest run of lines that fits into one atomic write, or of the
+// first line when that is longer.
+func wholeLines(b []byte) int {
+	if end := bytes.LastIndexByte(b[:min(len(b), atomicWrite)], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(b, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(b)
+}
+
 // handler drops lines above the rate before they are formatted.
 type handler struct {
 	output *Output
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -94,6 +94,18 @@
 	is.True(time.Since(begin) < 3*closeTime)
 }
 
+// Guards against lines of several processes that are mixed up on a pipe.
+func TestWritesAreWholeLines(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	long := strings.Repeat("x", 2*atomicWrite) + "\n"
+	short := strings.Repeat("y", 100) + "\n"
+	is.Equal(wholeLines([]byte(strings.Repeat(short, 50))), 40*len(short))
+	is.Equal(wholeLines([]byte(short+long)), len(short))
+	is.Equal(wholeLines([]byte(long+short)), len(long))
+	is.Equal(wholeLines([]byte("z")), 1)
+}
+
 func Example() {
 	o := New(Config{Output: os.Stdout, Level: slog.LevelInfo})
 	defer o.Close()
--- a/node/install.go
+++ b/node/install.go
@@ -106,7 +106,7 @@
 		service := t.Service(s.Service)
 		x := gather.Server{
 			ID: s.ID, Address: s.Address, FailureDomain: s.FailureDomain, Slots: s.Slots,
-			Draining: s.Draining || v.Out[s.FailureDomain], ColdUntil: s.ColdUntil,
+			Draining: s.Draining || v.Out[s.FailureDomain], ColdUntil: s.ColdUntil, Born: s.Born,
 		}
 		if service != nil {
 			x.Connections = share(service.Connections, nodes)
