Connect to a server after it broke a connection, to find crashes at once

Cause: a crash counted only when a later request was refused by the same server within 3 s. Requests avoid such a server, so a request that crashes servers could take four or more of them. Ruled out: sharing broken connections with all nodes; a broken connection alone is not a crash, and most are faults of the network. Now one connection is made 20 ms after a break.

--- a/back/forward.go
+++ b/back/forward.go
@@ -71,9 +71,7 @@
 		c, err := p.take(ctx, deadline.Add(lateAnswer), f.Once)
 		r.Wait = time.Since(start)
 		if err != nil {
-			r.Refused, r.Reset = refused(err), errors.Is(err, syscall.ECONNRESET)
-			r.Local = errors.Is(err, errCanceled) || errors.Is(err, errNoSlot) && !p.dials()
-			r.fail(Unsent, err.Error())
+			p.unconnected(err, &r)
 			return nil, r
 		}
 		if ctx.Err() != nil || !time.Now().Before(deadline) {
@@ -90,6 +88,33 @@
 	}
 }
 
+// Connect makes sure that there is an open connection to the server, and keeps it for later use. The
+// class of the result is OK if there is.
+func (k *Client) Connect(ctx context.Context, server netip.AddrPort, deadline time.Time) Result {
+	var r Result
+	p := (*k.pools.Load())[server]
+	if p == nil {
+		r.Local = true
+		r.fail(Unsent, errRemoved.Error())
+		return r
+	}
+	c, err := p.take(ctx, deadline, true)
+	if err != nil {
+		p.unconnected(err, &r)
+		return r
+	}
+	p.put(c)
+	r.Class = OK
+	return r
+}
+
+// unconnected describes why no connection could be had.
+func (p *pool) unconnected(err error, r *Result) {
+	r.Refused, r.Reset = refused(err), errors.Is(err, syscall.ECONNRESET)
+	r.Local = errors.Is(err, errCanceled) || errors.Is(err, errNoSlot) && !p.dials()
+	r.fail(Unsent, err.Error())
+}
+
 // forward exchanges one request on a connection. It returns true when the request may be sent on
 // another connection, because no byte was written on this reused one.
 func (k *Client) forward(
--- a/back/forward_test.go
+++ b/back/forward_test.go
@@ -235,3 +235,24 @@
 	is.Equal(len(s.Runs()), 1)
 	is.Equal((<-done).Class, OK)
 }
+
+// Guards against a crashed server that counts as connected, and against a connection that is made
+// only to be closed.
+func TestConnect(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s, k := routed(t, stand.RoutedConfig{Faults: stand.RoutedFaults{CrashURI: "/poison"}})
+	is.Equal(k.Connect(context.Background(), s.Address(), in(time.Second)).Class, OK)
+	_, r := k.Forward(context.Background(), s.Address(), in(time.Second), forwarded("r1"))
+	is.Equal(r.Class, OK)
+	is.Equal(s.Opened(), 1)
+	poison := forwarded("r2")
+	poison.URI = "/poison"
+	_, r = k.Forward(context.Background(), s.Address(), in(time.Second), poison)
+	is.True(r.Refused)
+	is.True(s.Crashed())
+	r = k.Connect(context.Background(), s.Address(), in(time.Second))
+	is.Equal(r.Class, Unsent)
+	is.True(r.Refused)
+	is.True(k.Connect(context.Background(), loopback, in(time.Second)).Local) // no server of a pool
+}
--- a/node/blame.go
+++ b/node/blame.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"net/netip"
 	"time"
@@ -15,6 +16,10 @@
 	// noteCrash is the kind of notes about crashes, and noteTime how long nodes keep them.
 	noteCrash = "crash"
 	noteTime  = 10 * time.Minute
+	// probeDelay lets a process that crashes close its listening socket, which may be the last.
+	probeDelay = 20 * time.Millisecond
+	// probeTimeout is the longest wait for the connection. A crashed process refuses it at once.
+	probeTimeout = time.Second
 )
 
 // fingerprint identifies requests that are equal in host, method, path and body.
@@ -30,13 +35,36 @@
 		n.blame.Succeeded(now, c.print)
 	case class == gather.Broken && r.Refused:
 		n.blame.Broke(now, c.print, server)
-	case class == gather.Unsent && r.Refused:
-		for _, note := range n.blame.Down(now, server) {
-			n.log.Warn("request may have crashed a server", "Fingerprint", note.Fingerprint, "Server", server)
-			n.metrics.Count("crashes")
-			// Publishing takes the lock of the fleet, whose events take that of the node.
-			go n.publishCrash(now, note)
+		if !n.probed[server] {
+			n.probed[server] = true
+			go n.probe(server)
 		}
+	case class == gather.Unsent && r.Refused:
+		n.serverDown(now, server)
+	}
+}
+
+// serverDown blames what a server was running for its crash. The caller holds n.mu.
+func (n *Node) serverDown(now time.Time, server netip.AddrPort) {
+	for _, note := range n.blame.Down(now, server) {
+		n.log.Warn("request may have crashed a server", "Fingerprint", note.Fingerprint, "Server", server)
+		n.metrics.Count("crashes")
+		// Publishing takes the lock of the fleet, whose events take that of the node.
+		go n.publishCrash(now, note)
+	}
+}
+
+// probe finds out whether a server that broke a connection has crashed. Requests alone may find out
+// late, since they go to other servers then.
+func (n *Node) probe(server netip.AddrPort) {
+	time.Sleep(probeDelay)
+	now := time.Now()
+	r := n.backend.Connect(context.Background(), server, now.Add(probeTimeout))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.probed, server)
+	if r.Refused {
+		n.serverDown(time.Now(), server)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -69,7 +69,9 @@
 	splitter *table.Splitter
 	calls    map[gather.JobID]*call
 	attempts map[gather.AttemptID]context.CancelFunc
-	relays   map[gather.RelayID]context.CancelFunc
+	// probed are the servers to which a connection is made after one broke.
+	probed map[netip.AddrPort]bool
+	relays map[gather.RelayID]context.CancelFunc
 	attemptCounters
 	blame *guard.Blame
 
@@ -93,6 +95,7 @@
 			Started: time.Now(), Seed: isSeed(s), FirstStart: s.FirstStart, ApplyTime: s.Bounds.ApplyTime.Std(),
 		}),
 		calls: make(map[gather.JobID]*call), attempts: make(map[gather.AttemptID]context.CancelFunc),
+		probed: make(map[netip.AddrPort]bool),
 		relays: make(map[gather.RelayID]context.CancelFunc),
 		engine: gather.New(gather.Config{
 			FailureDomain: s.FailureDomain, Seed: rand.Uint64(),
--- a/stand/routed.go
+++ b/stand/routed.go
@@ -22,7 +22,7 @@
 
 // RoutedConfig holds the settings of a RoutedServer.
 type RoutedConfig struct {
-	// ID is what requests must name as their target.
+	// ID is what requests must name as their target; empty means the address.
 	ID      string
 	Headers wire.Headers
 	// Slots is the number of requests that run at once; 0 means 2. Queue more wait, and the server
@@ -48,8 +48,8 @@
 	Extra, Unframed, Encoded float64
 	// Fail is the share of requests that are answered 500.
 	Fail float64
-	// LoseURI loses the answers to requests for a path.
-	LoseURI string
+	// CrashURI crashes the server with each request for this path.
+	CrashURI string
 	// Early answers requests with a body before it has been read.
 	Early bool
 	// Slow is added to the time that a request takes.
@@ -105,6 +105,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "stand: listen on %s", address)
 	}
+	if c.ID == "" {
+		c.ID = l.Addr().String()
+	}
 	s := &RoutedServer{
 		config: c, listener: l, rand: rand.New(rand.NewPCG(c.Seed, 1)), faults: c.Faults, id: c.ID,
 		slots: make(chan struct{}, c.Slots), conns: make(map[net.Conn]bool),
@@ -169,6 +172,24 @@
 	s.work.Wait()
 }
 
+// crash ends the server as the end of its process does.
+func (s *RoutedServer) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	_ = s.listener.Close()
+	for c := range s.conns {
+		reset(c)
+	}
+}
+
+// Crashed reports whether a request has crashed the server.
+func (s *RoutedServer) Crashed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
@@ -267,7 +288,11 @@
 	defer func() { <-s.slots }()
 	run := s.begin(r, body)
 	d := s.draw()
-	if !s.spend(c, in, run, d) || d.lose || d.hang || d.LoseURI != "" && r.RequestURI == d.LoseURI {
+	if d.CrashURI != "" && r.RequestURI == d.CrashURI {
+		s.crash()
+		return false
+	}
+	if !s.spend(c, in, run, d) || d.lose || d.hang {
 		reset(c)
 		return false
 	}
