--- a/call/order_test.go
+++ b/call/order_test.go
@@ -133,9 +133,8 @@
 	is.True(n.issued <= 16)
 	n.keyLife = time.Second
 	n.mu.Unlock()
-	c.mu.Lock()
-	c.keys["ledger"] = nil
-	c.mu.Unlock()
+	// A new client has no fetch under way that could bring keys with the longer life.
+	c = newClient(t, n, func(config *Config) { config.KeyBatch = 4 })
 	r := c.Order(context.Background(), "ledger", Order{Kind: "place-order", Timeout: 1500 * time.Millisecond})
 	is.Equal(r.Outcome, wire.Refused)
 	is.Equal(r.Failure.Step, wire.StepOrderKey)
