Serve routes on the project's own platform too

The document has Routes, and a feed reads it for nodes that serve routes, with the directory and readiness in the project's own form. Settings name the form of the platform.

--- a/check.go
+++ b/check.go
@@ -46,7 +46,7 @@
 Exits with 4 if a file has faults.
 
 Example:
-  arbutusthread check examples/node.json examples/tw-west.json`,
+  arbutusthread check sample/node.json sample/tw-west.json`,
 		Flags: flags,
 		Exec:  c.exec,
 	}
--- a/conf/check.go
+++ b/conf/check.go
@@ -12,6 +12,7 @@
 const (
 	MaxNameBytes   = 100
 	MaxServices    = 10_000
+	MaxRoutes      = 20_000
 	MaxCallers     = 20_000
 	MaxDomains     = 1_000
 	MaxPresets     = 100
@@ -33,7 +34,9 @@
 	services map[string]bool
 	domains  map[string]bool
 	kinds    map[string]bool
-	servers  distinct[netip.AddrPort]
+	// routed are the services to which routes lead. They need no kinds and no indexes.
+	routed  map[string]bool
+	servers distinct[netip.AddrPort]
 }
 
 // Check returns every fault of the document. A document is accepted only as a whole, if there is
@@ -43,6 +46,7 @@
 		services: map[string]bool{},
 		domains:  map[string]bool{},
 		kinds:    map[string]bool{},
+		routed:   d.RoutedServices(),
 		servers:  distinct[netip.AddrPort]{},
 	}
 	for _, s := range d.Services {
@@ -68,6 +72,10 @@
 		names.check(&c.faults, field(p, "Name"), d.Services[i].Name)
 		c.service(p, &d.Services[i])
 	}
+	c.count("Routes", len(d.Routes), 0, MaxRoutes)
+	if err := d.Routing().Check(); err != nil && len(c.faults) == 0 {
+		c.faults.add("Routes", "%v", err)
+	}
 	return c.faults
 }
 
--- a/conf/delta.go
+++ b/conf/delta.go
@@ -1,9 +1,9 @@
 package conf
 
 import (
-	"reflect"
-
 	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/table"
 )
 
 // Errors of Delta.Apply. After either, the receiver asks for the whole document.
@@ -26,18 +26,11 @@
 	FailureDomains Changes[FailureDomain] `json:"FailureDomains,omitzero"`
 	Callers        Changes[Caller]        `json:"Callers,omitzero"`
 	Services       Changes[Service]       `json:"Services,omitzero"`
+	Routes         Changes[table.Route]   `json:"Routes,omitzero"`
 }
 
 // Changes are the sections of one list that are new or differ, and the names of those that end.
-type Changes[T any] struct {
-	Set    []T      `json:"Set,omitempty"`
-	Remove []string `json:"Remove,omitempty"`
-}
-
-// IsZero reports whether nothing changes.
-func (c Changes[T]) IsZero() bool {
-	return len(c.Set) == 0 && len(c.Remove) == 0
-}
+type Changes[T any] = table.Changes[T]
 
 // Diff returns the delta that turns one document into another. Both must have passed Check. The
 // delta shares memory with newer, which must not be changed afterwards.
@@ -47,10 +40,11 @@
 		To:             newer.Version,
 		Hash:           Hash(newer),
 		Preset:         newer.Preset,
-		Presets:        changes(older.Presets, newer.Presets, presetName),
-		FailureDomains: changes(older.FailureDomains, newer.FailureDomains, domainName),
-		Callers:        changes(older.Callers, newer.Callers, callerName),
-		Services:       changes(older.Services, newer.Services, serviceName),
+		Presets:        table.ChangesOf(older.Presets, newer.Presets, presetName),
+		FailureDomains: table.ChangesOf(older.FailureDomains, newer.FailureDomains, domainName),
+		Callers:        table.ChangesOf(older.Callers, newer.Callers, callerName),
+		Services:       table.ChangesOf(older.Services, newer.Services, serviceName),
+		Routes:         table.ChangesOf(older.Routes, newer.Routes, routeName),
 	}
 }
 
@@ -63,65 +57,14 @@
 	newer := &Document{
 		Version:        d.To,
 		Preset:         d.Preset,
-		Presets:        d.Presets.apply(older.Presets, presetName),
-		FailureDomains: d.FailureDomains.apply(older.FailureDomains, domainName),
-		Callers:        d.Callers.apply(older.Callers, callerName),
-		Services:       d.Services.apply(older.Services, serviceName),
+		Presets:        d.Presets.Apply(older.Presets, presetName),
+		FailureDomains: d.FailureDomains.Apply(older.FailureDomains, domainName),
+		Callers:        d.Callers.Apply(older.Callers, callerName),
+		Services:       d.Services.Apply(older.Services, serviceName),
+		Routes:         d.Routes.Apply(older.Routes, routeName),
 	}
 	if h := Hash(newer); h != d.Hash || h == "" {
 		return nil, errors.Wrapf(ErrHash, "delta from %d to %d", d.From, d.To)
 	}
 	return newer, nil
 }
-
-func changes[T any](older, newer []T, name func(*T) string) Changes[T] {
-	before := byName(older, name)
-	var c Changes[T]
-	for i := range newer {
-		n := name(&newer[i])
-		if o, ok := before[n]; !ok || !reflect.DeepEqual(o, &newer[i]) {
-			c.Set = append(c.Set, newer[i])
-		}
-		delete(before, n)
-	}
-	c.Remove = sortedKeys(before)
-	return c
-}
-
-// apply keeps the order of the sections that stay and appends new ones.
-func (c Changes[T]) apply(older []T, name func(*T) string) []T {
-	set := byName(c.Set, name)
-	removed := make(map[string]bool, len(c.Remove))
-	for _, n := range c.Remove {
-		removed[n] = true
-	}
-	newer := make([]T, 0, len(older)+len(c.Set))
-	for i := range older {
-		n := name(&older[i])
-		if removed[n] {
-			continue
-		}
-		if x, ok := set[n]; ok {
-			newer = append(newer, *x)
-			delete(set, n)
-			continue
-		}
-		newer = append(newer, older[i])
-	}
-	for i := range c.Set {
-		n := name(&c.Set[i])
-		if x, ok := set[n]; ok {
-			newer = append(newer, *x)
-			delete(set, n)
-		}
-	}
-	return newer
-}
-
-func byName[T any](all []T, name func(*T) string) map[string]*T {
-	m := make(map[string]*T, len(all))
-	for i := range all {
-		m[name(&all[i])] = &all[i]
-	}
-	return m
-}
--- a/conf/document.go
+++ b/conf/document.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 
+	"github.com/arbutusthread/arbutusthread/table"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
 
@@ -14,6 +15,36 @@
 	FailureDomains []FailureDomain `json:"FailureDomains"`
 	Callers        []Caller        `json:"Callers"`
 	Services       []Service       `json:"Services"`
+	// Routes lead requests of callers to services as they come. Nodes that serve routes alone use
+	// these, the services with their servers, and the failure domains.
+	Routes []table.Route `json:"Routes,omitempty"`
+}
+
+// Routing returns the routes of the document with what they need of its services.
+func (d *Document) Routing() *table.Config {
+	c := &table.Config{Version: d.Version, Routes: d.Routes}
+	for i := range d.Services {
+		v := &d.Services[i]
+		s := table.Service{Name: v.Name}
+		for _, b := range v.Servers {
+			if s.Connections == 0 || b.Connections < s.Connections {
+				s.Connections = b.Connections
+			}
+		}
+		c.Services = append(c.Services, s)
+	}
+	return c
+}
+
+// RoutedServices returns the names of the services to which routes lead.
+func (d *Document) RoutedServices() map[string]bool {
+	names := map[string]bool{}
+	for i := range d.Routes {
+		for _, s := range d.Routes[i].Services() {
+			names[s] = true
+		}
+	}
+	return names
 }
 
 // Preset is a named set of policy parameters. Exactly one is in force: the one that
--- a/conf/hash.go
+++ b/conf/hash.go
@@ -10,6 +10,8 @@
 	"maps"
 	"slices"
 	"strconv"
+
+	"github.com/arbutusthread/arbutusthread/table"
 )
 
 // Hash returns the SHA-256 hash of the document in hex. It does not depend on the order of
@@ -24,6 +26,10 @@
 		writeSections(h, d.FailureDomains, domainName) &&
 		writeSections(h, d.Callers, callerName) &&
 		writeSections(h, d.Services, serviceName)
+	if len(d.Routes) > 0 {
+		// A document without routes has the hash that it had before documents could have any.
+		ok = ok && writeSections(h, d.Routes, routeName)
+	}
 	if !ok {
 		return ""
 	}
@@ -57,6 +63,7 @@
 }
 
 func presetName(p *Preset) string        { return p.Name }
+func routeName(r *table.Route) string    { return r.Name }
 func domainName(f *FailureDomain) string { return f.Name }
 func callerName(c *Caller) string        { return c.Name }
 func serviceName(s *Service) string      { return s.Name }
--- a/conf/service.go
+++ b/conf/service.go
@@ -28,13 +28,18 @@
 		}
 		domains.check(&c.faults, at, x)
 	}
+	least := 1
+	if c.routed[s.Name] {
+		least = 0
+	}
+	c.count(field(p, "Kinds"), len(s.Kinds), least, MaxKinds)
 	c.requestKinds(field(p, "Kinds"), s.Kinds)
 	c.backendServers(p, s)
+	c.count(field(p, "Indexes"), len(s.Indexes), least, MaxIndexes)
 	c.indexes(p, s)
 }
 
 func (c *checker) requestKinds(p string, all []Kind) {
-	c.count(p, len(all), 1, MaxKinds)
 	names := distinct[string]{}
 	for i, k := range all {
 		at := element(p, i)
@@ -79,7 +84,6 @@
 
 func (c *checker) indexes(p string, s *Service) {
 	at := field(p, "Indexes")
-	c.count(at, len(s.Indexes), 1, MaxIndexes)
 	slice := make(map[netip.AddrPort]int, len(s.Servers))
 	for _, x := range s.Servers {
 		slice[x.Address] = x.Slice
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -26,6 +26,9 @@
 	OpsAddress netip.AddrPort `json:"OpsAddress"`
 	// Platform is the base URL of the configuration service and the list of VMs.
 	Platform string `json:"Platform"`
+	// PlatformForm is PlatformDocuments or PlatformStore; only nodes that serve routes alone may use
+	// the second.
+	PlatformForm string `json:"PlatformForm,omitempty"`
 	// FleetKeys are hex keys of at least 16 bytes that all nodes share. The first one signs; all
 	// verify, so that a key can be replaced without a stop.
 	FleetKeys []string `json:"FleetKeys"`
@@ -79,6 +82,13 @@
 	return max(1, int(weight))
 }
 
+// Forms of a platform: one that publishes documents with all that a node needs, and a metadata store
+// with an entry for each backend server.
+const (
+	PlatformDocuments = "Documents"
+	PlatformStore     = "Store"
+)
+
 // Bounds are what all nodes of a fleet keep to together.
 type Bounds struct {
 	// RetryRatio times the requests of a service in RetryWindow, plus RetrySlack, bounds the extra
@@ -170,6 +180,13 @@
 	MinFleetKeyBytes = 16
 	MaxFleetKeyBytes = 64
 	MaxFleetKeys     = 4
+	// Limits of bounds and capacities, which only keep a mistake in the unit from taking effect.
+	maxRetryRatio    = 10.0
+	maxRetrySlack    = 1e6
+	maxColdOvershoot = 100.0
+	maxBoundTime     = time.Hour
+	maxCores         = 4096.0
+	maxLinkMbps      = 1e6
 	maxLimitBytes    = 64 << 20
 	maxLimitEntries  = 10_000_000
 )
@@ -177,6 +194,7 @@
 // setDefaults leaves negative values for Check to report.
 func (s *Settings) setDefaults() {
 	defaultTo(&s.KeepFor, wire.Duration(DefaultKeepFor))
+	defaultTo(&s.PlatformForm, PlatformDocuments)
 	defaultTo(&s.Log.Level, slog.LevelInfo.String())
 	l := &s.Limits
 	defaultTo(&l.BodyBytes, DefaultBodyBytes)
@@ -213,6 +231,22 @@
 		addresses.check(&c.faults, x.path, x.address)
 	}
 	c.platform(s.Platform)
+	if s.PlatformForm != PlatformDocuments && s.PlatformForm != PlatformStore {
+		c.faults.add("PlatformForm", "must be %s or %s", PlatformDocuments, PlatformStore)
+	}
+	for _, x := range []struct {
+		path    string
+		address netip.AddrPort
+	}{
+		{"DirectoryAddress", s.DirectoryAddress}, {"ReadyAddress", s.ReadyAddress}, {"MetricsAddress", s.MetricsAddress},
+	} {
+		if x.address.IsValid() {
+			addresses.check(&c.faults, x.path, x.address)
+		}
+	}
+	c.bounds(s.Bounds)
+	between(&c.faults, "Capacity.Cores", s.Capacity.Cores, 0, maxCores)
+	between(&c.faults, "Capacity.LinkMbps", s.Capacity.LinkMbps, 0, maxLinkMbps)
 	c.fleetKeys(s.FleetKeys)
 	if (s.TLS.Certificate == "") != (s.TLS.Key == "") {
 		c.faults.add("TLS", "must have both Certificate and Key, or neither")
@@ -229,6 +263,23 @@
 	return c.faults
 }
 
+func (c *checker) bounds(b Bounds) {
+	for _, x := range []struct {
+		path        string
+		value, high float64
+	}{
+		{"RetryRatio", b.RetryRatio, maxRetryRatio},
+		{"RetrySlack", b.RetrySlack, maxRetrySlack},
+		{"RetryWindow", b.RetryWindow.Std().Seconds(), maxBoundTime.Seconds()},
+		{"ColdOvershoot", b.ColdOvershoot, maxColdOvershoot},
+		{"ColdSlack", b.ColdSlack, maxRetrySlack},
+		{"ApplyTime", b.ApplyTime.Std().Seconds(), maxBoundTime.Seconds()},
+		{"StopTime", b.StopTime.Std().Seconds(), maxBoundTime.Seconds()},
+	} {
+		between(&c.faults, field("Bounds", x.path), x.value, 0, x.high)
+	}
+}
+
 func (c *checker) platform(base string) {
 	u, err := url.Parse(base)
 	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
--- a/front/ops.go
+++ b/front/ops.go
@@ -20,10 +20,6 @@
 	})
 	m.Handle("GET /metrics", n.Metrics().Handler())
 	m.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
-	m.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if !n.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
+	m.Handle("GET /ready", ReadyHandler(n))
 	return m
 }
--- a/front/run.go
+++ b/front/run.go
@@ -37,7 +37,8 @@
 	// Callers is the address for callers, and Server serves them.
 	Callers netip.AddrPort
 	Server  *Server
-	// Sides are the other endpoints. They are served until the node ends.
+	// Sides are the other endpoints. They are served until the node ends; one without an address is
+	// left out.
 	Sides []Endpoint
 	// Run runs what lies below until its context ends.
 	Run func(ctx context.Context) error
@@ -59,6 +60,9 @@
 	defer cut()
 	group, running := errgroup.WithContext(running)
 	for _, e := range r.Sides {
+		if !e.Address.IsValid() {
+			continue
+		}
 		l, err := listen(e.Address)
 		if err != nil {
 			cut()
--- a/main.go
+++ b/main.go
@@ -36,7 +36,7 @@
 for example ARBUTUSTHREAD_KEY for --key.
 
 Example:
-  arbutusthread check examples/tw-west.json`
+  arbutusthread check sample/tw-west.json`
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/node.go
+++ b/node.go
@@ -2,17 +2,22 @@
 
 import (
 	"context"
+	"log/slog"
+	"net/http"
 
 	"github.com/peterbourgon/ff/v4"
 
+	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/front"
 	"github.com/arbutusthread/arbutusthread/logs"
 	"github.com/arbutusthread/arbutusthread/node"
+	"github.com/arbutusthread/arbutusthread/plat"
 	"github.com/arbutusthread/arbutusthread/platform"
 	"github.com/arbutusthread/arbutusthread/table"
+	"github.com/arbutusthread/arbutusthread/wire"
 )
 
-// router runs one node on the users' platform.
+// router runs one node that serves routes.
 type router struct {
 	*shell
 	config string
@@ -25,13 +30,14 @@
 	return &ff.Command{
 		Name:      "node",
 		Usage:     "arbutusthread node --config FILE",
-		ShortHelp: "run one node on the users' platform",
-		LongHelp: `Logs JSON lines to the standard output. SIGTERM and SIGINT stop the node in a planned
-way; a second one ends it at once. SIGHUP reads the settings again. Exits with 4 if the
+		ShortHelp: "run one node that serves routes",
+		LongHelp: `Serves requests on the routes of the configuration, on the project's own platform or on a
+metadata store (PlatformForm in the settings). Logs JSON lines to the standard output. SIGTERM and SIGINT stop the node in a planned
+way. SIGHUP reads the settings again, and so does a change of the file. Exits with 4 if the
 settings have faults, and with 1 if a socket fails.
 
 Example:
-  arbutusthread node --config examples/node.json`,
+  arbutusthread node --config sample/route-1.json`,
 		Flags: flags,
 		Exec:  c.exec,
 	}
@@ -51,23 +57,25 @@
 	output := logs.New(logs.Config{Output: c.out, Level: settings.Log.SlogLevel()})
 	defer output.Close()
 	log := output.Logger("Node", settings.Name)
-	n, err := node.New(node.Config{
-		Settings: settings, Source: platform.NewStore(settings.Platform, log), Headers: platform.Headers(), Log: log,
-	})
+	p, err := newDeployment(settings, log)
+	if err != nil {
+		return err
+	}
+	n, err := node.New(node.Config{Settings: settings, Source: p.source, Headers: p.headers, Log: log})
 	if err != nil {
 		return err
 	}
 	go newSettingsWatch(settingsWatch{
 		read: func() ([]byte, error) { return c.readFile(c.config) }, apply: n.Reload, log: log, last: b,
 	}).run(ctx)
-	handler := front.NewHandler(front.Config{Backend: n, Headers: platform.Headers(), Metrics: n.Metrics(), Log: log})
+	handler := front.NewHandler(front.Config{Backend: n, Headers: p.headers, Metrics: n.Metrics(), Log: log})
 	log.Info("node starts", "FailureDomain", settings.FailureDomain, "CallerAddress", settings.CallerAddress)
 	return front.Serve(ctx, &front.Runtime{
 		Callers: settings.CallerAddress,
 		Server:  front.NewServer(handler, func() table.Limits { return limitsOf(n.Table()) }, log),
 		Sides: []front.Endpoint{
-			{Address: settings.DirectoryAddress, Handler: platform.DirectoryHandler(n, log)},
-			{Address: settings.ReadyAddress, Handler: platform.ReadyHandler(n)},
+			{Address: settings.DirectoryAddress, Handler: p.directory(n, log)},
+			{Address: settings.ReadyAddress, Handler: p.ready(n)},
 			{Address: settings.OpsAddress, Handler: front.OpsHandler(n, log)},
 			{Address: settings.MetricsAddress, Handler: front.OpsHandler(n, log)},
 		},
@@ -75,6 +83,31 @@
 	})
 }
 
+// deployment is how a node speaks to the platform, to callers and to backend servers.
+type deployment struct {
+	source    node.Source
+	headers   wire.Headers
+	directory func(front.Directory, *slog.Logger) http.Handler
+	ready     func(front.Directory) http.Handler
+}
+
+func newDeployment(s *conf.Settings, log *slog.Logger) (*deployment, error) {
+	if s.PlatformForm == conf.PlatformStore {
+		return &deployment{
+			source: platform.NewStore(s.Platform, log), headers: platform.Headers(),
+			directory: platform.DirectoryHandler, ready: platform.ReadyHandler,
+		}, nil
+	}
+	client, err := plat.New(plat.Config{URL: s.Platform})
+	if err != nil {
+		return nil, err
+	}
+	return &deployment{
+		source: plat.NewFeed(client), headers: wire.DefaultHeaders(),
+		directory: front.DirectoryHandler, ready: front.ReadyHandler,
+	}, nil
+}
+
 func limitsOf(t *table.Table) table.Limits {
 	if t == nil {
 		return table.Limits{}
--- /dev/null
+++ b/plat/feed.go
@@ -0,0 +1,66 @@
+package plat
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/feed"
+)
+
+// Feed reads the configuration document for nodes that serve routes: its routes, the servers of its
+// services and its failure domains. The version of the document is the revision. It is safe for
+// concurrent use.
+type Feed struct {
+	client *Client
+}
+
+// NewFeed returns a feed that reads with the client.
+func NewFeed(c *Client) *Feed { return &Feed{client: c} }
+
+// Load reads the document. It has no cheaper form.
+func (f *Feed) Load(ctx context.Context, _ bool) (feed.Delta, error) {
+	return f.read(ctx, 0, 0)
+}
+
+// Watch returns the whole document as soon as its version is above the revision, and an empty delta when
+// there is none within the wait.
+func (f *Feed) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
+	return f.read(ctx, after, wait)
+}
+
+func (f *Feed) read(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
+	raw, err := f.client.Read(ctx, after, wait)
+	if err != nil || raw == nil {
+		return feed.Delta{From: after, To: after}, err
+	}
+	d, err := conf.ParseDocument(raw)
+	if err == nil {
+		err = d.Check().Err()
+	}
+	if err != nil {
+		return feed.Delta{}, errors.Wrap(err, "plat: configuration is not valid")
+	}
+	return deltaOf(d), nil
+}
+
+// deltaOf translates a document.
+func deltaOf(d *conf.Document) feed.Delta {
+	x := feed.Delta{To: d.Version, Full: true}
+	x.Changes = append(x.Changes, feed.Change{Revision: d.Version, Config: d.Routing()})
+	for _, v := range d.Services {
+		for _, b := range v.Servers {
+			x.Changes = append(x.Changes, feed.Change{Revision: d.Version, Server: &feed.Server{
+				ID: b.Address.String(), Service: v.Name, Address: b.Address, FailureDomain: b.FailureDomain, Slots: b.Slots,
+			}})
+		}
+	}
+	for _, m := range d.FailureDomains {
+		if m.State == conf.DomainOut {
+			x.Changes = append(x.Changes, feed.Change{Revision: d.Version, Out: m.Name})
+		}
+	}
+	return x
+}
--- a/replay.go
+++ b/replay.go
@@ -35,7 +35,7 @@
 were recorded. "-" is the standard input. Record with serve --trace FILE.
 
 Example:
-  arbutusthread replay --config examples/tw-west.json trace.jsonl`,
+  arbutusthread replay --config sample/tw-west.json trace.jsonl`,
 		Flags: flags,
 		Exec:  c.exec,
 	}
--- a/serve.go
+++ b/serve.go
@@ -36,7 +36,7 @@
 have faults, and with 1 if a socket fails.
 
 Example:
-  arbutusthread serve --settings examples/node.json`,
+  arbutusthread serve --settings sample/node.json`,
 		Flags: flags,
 		Exec:  c.exec,
 	}
--- a/stand/fleet.go
+++ b/stand/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -45,9 +46,11 @@
 	mu       sync.Mutex
 	document *conf.Document
 	servers  map[netip.AddrPort]*Server
-	domains  map[netip.AddrPort]string
-	entries  []wire.VM
-	leaving  map[netip.AddrPort]bool
+	// routed are the servers of services to which routes lead.
+	routed  map[netip.AddrPort]*RoutedServer
+	domains map[netip.AddrPort]string
+	entries []wire.VM
+	leaving map[netip.AddrPort]bool
 }
 
 // StartFleet starts the platform and all servers.
@@ -57,7 +60,7 @@
 		d = c.Layout.Document()
 	}
 	f := &Fleet{
-		servers: map[netip.AddrPort]*Server{}, domains: map[netip.AddrPort]string{},
+		servers: map[netip.AddrPort]*Server{}, routed: map[netip.AddrPort]*RoutedServer{}, domains: map[netip.AddrPort]string{},
 		leaving: map[netip.AddrPort]bool{},
 	}
 	if err := f.start(ctx, c, d); err != nil {
@@ -99,27 +102,49 @@
 // ones. Documents may name a server in several services.
 func (f *Fleet) startServers(c FleetConfig, d *conf.Document) (map[netip.AddrPort]netip.AddrPort, error) {
 	moved := map[netip.AddrPort]netip.AddrPort{}
+	routed := d.RoutedServices()
 	for _, v := range d.Services {
 		for _, b := range v.Servers {
 			if _, ok := moved[b.Address]; ok {
 				continue
 			}
-			s := NewServer(serverConfig(c, v, b, len(moved)))
 			address := anyLoopback
 			if c.KeepAddresses {
 				address = b.Address
 			}
-			if err := s.Listen(address); err != nil {
+			at, err := f.startServer(c, v, b, address, routed[v.Name], len(moved))
+			if err != nil {
 				return nil, err
 			}
-			moved[b.Address] = s.Address()
-			f.servers[s.Address()] = s
-			f.domains[s.Address()] = b.FailureDomain
+			moved[b.Address] = at
+			f.domains[at] = b.FailureDomain
 		}
 	}
 	return moved, nil
 }
 
+// startServer starts one server and returns its address.
+func (f *Fleet) startServer(
+	c FleetConfig, v conf.Service, b conf.BackendServer, address netip.AddrPort, routed bool, number int,
+) (netip.AddrPort, error) {
+	if routed {
+		s, err := NewRoutedServer(address, RoutedConfig{
+			Slots: b.Slots, Connections: b.Connections, Delay: c.Server.Latency.Median, Seed: c.Seed + uint64(number),
+		})
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		f.routed[s.Address()] = s
+		return s.Address(), nil
+	}
+	s := NewServer(serverConfig(c, v, b, number))
+	if err := s.Listen(address); err != nil {
+		return netip.AddrPort{}, err
+	}
+	f.servers[s.Address()] = s
+	return s.Address(), nil
+}
+
 func serverConfig(c FleetConfig, v conf.Service, b conf.BackendServer, number int) ServerConfig {
 	t := c.Server
 	t.Name = fmt.Sprintf("%s-%d", v.Name, number)
@@ -297,6 +322,9 @@
 	for _, s := range f.servers {
 		all.Go(s.Close)
 	}
+	for _, s := range f.routed {
+		all.Go(s.Close)
+	}
 	all.Wait()
 }
 
@@ -307,5 +335,8 @@
 	for _, a := range f.addresses() {
 		fmt.Fprintf(&b, "server %s %s %s\n", f.servers[a].config.Name, a, f.domains[a])
 	}
+	for _, a := range slices.SortedFunc(maps.Keys(f.routed), netip.AddrPort.Compare) {
+		fmt.Fprintf(&b, "routed server %s %s\n", a, f.domains[a])
+	}
 	return b.String()
 }
--- a/standin.go
+++ b/standin.go
@@ -30,7 +30,7 @@
 	flags := ff.NewFlagSet("standin").SetParent(parent)
 	flags.StringVar(&c.config, 'c', "config", "", "configuration document to publish; its servers are started on their addresses")
 	flags.StringVar(&c.platform, 'p', "platform", "127.0.0.1:7300", "address of the platform")
-	flags.StringListVar(&c.nodes, 'n', "node", "entry VM as DOMAIN=PEERADDRESS, repeatable (default: those of examples/node*.json)")
+	flags.StringListVar(&c.nodes, 'n', "node", "entry VM as DOMAIN=PEERADDRESS, repeatable (default: those of sample/node*.json)")
 	flags.DurationVar(&c.latency, 'l', "latency", 2*time.Millisecond, "median latency of a warm server")
 	flags.Uint64Var(&c.seed, 0, "seed", 1, "seed of latencies and faults")
 	return &ff.Command{
@@ -41,14 +41,14 @@
 PUT /v1/config and a list of VMs with PUT /v1/vms at the platform's address.
 
 Example:
-  arbutusthread standin --config examples/tw-west.json
-  arbutusthread standin --config examples/mu-island.json --platform 127.0.0.1:7310`,
+  arbutusthread standin --config sample/tw-west.json
+  arbutusthread standin --config sample/mu-island.json --platform 127.0.0.1:7310`,
 		Flags: flags,
 		Exec:  c.exec,
 	}
 }
 
-// exampleNodes are the entry VMs of examples/node*.json.
+// exampleNodes are the entry VMs of sample/node*.json.
 var exampleNodes = []string{
 	"Lukang=127.0.0.1:7100", "Yilan=127.0.0.1:7101", "Chiayi=127.0.0.1:7102",
 	"Port Louis=127.0.0.1:7110", "Curepipe=127.0.0.1:7111", "Mahebourg=127.0.0.1:7112",
--- /dev/null
+++ b/table/changes.go
@@ -0,0 +1,70 @@
+package table
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+)
+
+// Changes are the entries of a list that are new or differ, and the names of those that end.
+type Changes[T any] struct {
+	Set    []T      `json:"Set,omitempty"`
+	Remove []string `json:"Remove,omitempty"`
+}
+
+// ChangesOf returns what turns one list into another. Names are distinct within a list.
+func ChangesOf[T any](older, newer []T, name func(*T) string) Changes[T] {
+	before := byName(older, name)
+	var c Changes[T]
+	for i := range newer {
+		n := name(&newer[i])
+		if o, ok := before[n]; !ok || !reflect.DeepEqual(o, &newer[i]) {
+			c.Set = append(c.Set, newer[i])
+		}
+		delete(before, n)
+	}
+	c.Remove = slices.Sorted(maps.Keys(before))
+	return c
+}
+
+// IsZero reports whether nothing changes.
+func (c Changes[T]) IsZero() bool { return len(c.Set) == 0 && len(c.Remove) == 0 }
+
+// Apply returns the list that results. It keeps the order of the entries that stay and appends new
+// ones.
+func (c Changes[T]) Apply(older []T, name func(*T) string) []T {
+	set := byName(c.Set, name)
+	removed := make(map[string]bool, len(c.Remove))
+	for _, n := range c.Remove {
+		removed[n] = true
+	}
+	newer := make([]T, 0, len(older)+len(c.Set))
+	for i := range older {
+		n := name(&older[i])
+		if removed[n] {
+			continue
+		}
+		if x, ok := set[n]; ok {
+			newer = append(newer, *x)
+			delete(set, n)
+			continue
+		}
+		newer = append(newer, older[i])
+	}
+	for i := range c.Set {
+		n := name(&c.Set[i])
+		if x, ok := set[n]; ok {
+			newer = append(newer, *x)
+			delete(set, n)
+		}
+	}
+	return newer
+}
+
+func byName[T any](all []T, name func(*T) string) map[string]*T {
+	m := make(map[string]*T, len(all))
+	for i := range all {
+		m[name(&all[i])] = &all[i]
+	}
+	return m
+}
--- a/table/config.go
+++ b/table/config.go
@@ -3,6 +3,7 @@
 package table
 
 import (
+	"slices"
 	"time"
 
 	"github.com/arbutusthread/arbutusthread/wire"
@@ -94,5 +95,14 @@
 	return now.Add(wait)
 }
 
+// Services returns the names of the services to which the route leads.
+func (r *Route) Services() []string {
+	names := slices.Clone(r.Shards)
+	for _, t := range r.Targets {
+		names = append(names, t.Service)
+	}
+	return names
+}
+
 // Attempts returns the number of servers to which a request may be sent, at least 1.
 func (r *Route) Attempts() int { return max(1, r.MaxAttempts) }
