--- a/feed/reader.go
+++ b/feed/reader.go
@@ -38,8 +38,9 @@
 	blindAfter = 2
 	blindRetry = 2 * time.Second
 	// JoinTime is how long a node that has just started waits for the data of a peer before it
-	// reads the platform, and FirstJoinTime how long when the whole fleet starts for the first time.
-	JoinTime      = 200 * time.Millisecond
+	// reads the platform.
+	JoinTime = 200 * time.Millisecond
+	// FirstJoinTime is JoinTime when the whole fleet starts for the first time.
 	FirstJoinTime = 600 * time.Millisecond
 	// settleTime is how long a node that has just started knows too few others to trust its rank.
 	settleTime = 3 * time.Second
--- a/gather/engine.go
+++ b/gather/engine.go
@@ -53,11 +53,11 @@
 	}
 }
 
-// JobID names a request and AttemptID one sending of it to a server.
-type (
-	JobID     uint64
-	AttemptID uint64
-)
+// JobID names a request.
+type JobID uint64
+
+// AttemptID names one sending of a request to a server.
+type AttemptID uint64
 
 // Purpose is why an attempt is sent.
 type Purpose string
--- a/gather/server.go
+++ b/gather/server.go
@@ -122,9 +122,9 @@
 }
 
 func (s *server) update(v Server, p *pool) {
-	if s.Server.ColdUntil.After(v.ColdUntil) {
+	if s.ColdUntil.After(v.ColdUntil) {
 		// What the server said of itself is newer than what the platform lists.
-		v.ColdUntil = s.Server.ColdUntil
+		v.ColdUntil = s.ColdUntil
 	}
 	if !v.Born.Equal(s.Born) {
 		s.replaced = false
