Confirm old data at once when a node begins to read the platform

The trace shows that a new reader's first watch waits for up to a second at the platform. Data that is 1.1 s old when the reader takes over is 2.1 s old at the end of that watch, so that two further nodes take over too, and their reads end after the test has begun to count. Ruled out: members taken for down (none was), the counts of the stand-in. A watch on data that is older than half a second now returns at once. A node that cannot use what it has read counts this as a failed read, so that it backs off. The log tells who reads and why.

--- a/feed/reader.go
+++ b/feed/reader.go
@@ -14,6 +14,10 @@
 	// WatchTime is how long a watch waits at the platform. A watch that is answered shows that the
 	// copy is current, so it bounds the age of the data.
 	WatchTime = time.Second
+	// confirmTime is the wait of a watch by a node whose data is older than oldAge, as when it takes over
+	// from another reader. The answer comes before further nodes take over.
+	confirmTime = time.Millisecond
+	oldAge      = WatchTime / 2
 	// batchTime is the least time between two watches, so that changes in quick succession take few
 	// calls.
 	batchTime = 300 * time.Millisecond
@@ -143,7 +147,11 @@
 	if after == 0 || r.reload {
 		return Plan{Step: Load}
 	}
-	return Plan{Step: Watch, After: after, Wait: WatchTime}
+	wait := WatchTime
+	if !in.Known || in.Age > oldAge {
+		wait = confirmTime
+	}
+	return Plan{Step: Watch, After: after, Wait: wait}
 }
 
 // isDue reports whether the node reads the platform.
--- a/feed/reader_test.go
+++ b/feed/reader_test.go
@@ -49,6 +49,22 @@
 	is.Equal(r.Plan(now, in).Step, Idle)
 }
 
+// Guards against a node that takes over with a watch that waits: its data would get so old meanwhile
+// that further nodes take over too.
+func TestOldDataIsConfirmedAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newReader(true)
+	now := epoch.Add(time.Minute)
+	in := Input{Revision: 5, Known: true, Age: oldAge}
+	is.Equal(r.Plan(now, in).Wait, WatchTime)
+	in.Age += time.Millisecond
+	is.Equal(r.Plan(now, in), Plan{Step: Watch, After: 5, Wait: confirmTime})
+	in.Known = false
+	is.Equal(r.Plan(now, in).Wait, confirmTime)
+	is.True(oldAge+batchTime < r.stale) // a reader that has confirmed its data is in time with the next watch
+}
+
 // Guards against data that gets old again and again while the readers cannot read: a node whose reads
 // fail says so, and tries until it can.
 func TestBlindReader(t *testing.T) {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -77,10 +79,16 @@
 		seeds = append(seeds, address(i))
 	}
 	var members []*member
+	logs := &testLog{}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs of the nodes:\n%s", logs)
+		}
+	})
 	for i, d := range domains {
 		m := &member{source: &turnedAway{Published: published}, done: make(chan error, 1)}
 		m.Node, err = New(Config{
-			Source: m.source, Headers: wire.DefaultHeaders(), Log: slog.New(slog.DiscardHandler),
+			Source: m.source, Headers: wire.DefaultHeaders(), Log: slog.New(slog.NewTextHandler(logs, nil)).With("Node", i),
 			Settings: &conf.Settings{
 				Name: fmt.Sprint("node-", i), FailureDomain: d, Region: "tw",
 				CallerAddress: netip.AddrPortFrom(address(i).Addr(), port+1), PeerAddress: address(i),
@@ -107,6 +115,24 @@
 	return published, members
 }
 
+// testLog keeps the lines of all nodes for a test that fails.
+type testLog struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *testLog) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *testLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 // applyTime is the time in which a change must be in force.
 const applyTime = 3 * time.Second
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -67,8 +67,10 @@
 		}
 	}
 	readers := 0
-	for _, m := range members {
-		if m.source.reads.Load() > 0 {
+	for i, m := range members {
+		reads := m.source.reads.Load()
+		t.Logf("node %d: away %t, %d reads, rank %d", i, m.source.away.Load(), reads, m.peer.ReaderRank())
+		if reads > 0 {
 			readers++
 		}
 	}
--- a/node/read.go
+++ b/node/read.go
@@ -16,22 +16,29 @@
 
 // read reads the platform whenever it is this node's turn.
 func (n *Node) read(ctx context.Context) {
+	reading := false
 	for ctx.Err() == nil {
-		p := n.plan(time.Now())
+		in := n.readerInput()
+		n.feedMu.Lock()
+		p := n.reader.Plan(time.Now(), in)
+		n.feedMu.Unlock()
 		if p.Step == feed.Idle {
+			reading = reading && in.Rank == 0
 			sleep(ctx, p.Wait)
 			continue
 		}
+		if !reading {
+			n.log.Info("platform is read by this node", "Rank", in.Rank, "Age", in.Age, "AgeKnown", in.Known, "Revision", in.Revision)
+		}
+		reading = true
 		n.readOnce(ctx, p)
 	}
 }
 
-func (n *Node) plan(now time.Time) feed.Plan {
+func (n *Node) readerInput() feed.Input {
 	in := feed.Input{Rank: n.peer.ReaderRank(), Revision: n.revision()}
 	in.Age, in.Known = n.peer.FeedAge()
-	n.feedMu.Lock()
-	defer n.feedMu.Unlock()
-	return n.reader.Plan(now, in)
+	return in
 }
 
 func (n *Node) readOnce(ctx context.Context, p feed.Plan) {
@@ -54,7 +61,6 @@
 	failures := n.reader.Failures()
 	n.reader.Succeed(now, &d)
 	n.feedMu.Unlock()
-	n.setBlind(false)
 	if p.Step == feed.Load {
 		n.log.Info("platform loaded", "Revision", d.To, "Changes", len(d.Changes))
 	}
@@ -63,8 +69,10 @@
 	}
 	if err := n.apply(now, d, "platform"); err != nil {
 		n.log.Warn("data of the platform dropped", "Error", err)
+		n.readFailed(now, err)
 		return
 	}
+	n.setBlind(false)
 	n.peer.SetFeed(n.revision(), true)
 }
 
