Measure routed requests under load patterns in virtual time

Package drill runs the engine of routed requests and two plain forwarders against models of backend servers, with a case for each load pattern: calm, slow servers, a burst, a dark shard, saturated shards, a lost domain, a domain taken out, impatient callers, flapping servers. Package vtime has the queue of events that it shares with trial. The command is arbutusthread drill.

--- a/main.go
+++ b/main.go
@@ -75,6 +75,7 @@
 		newLoad,
 		newDemo,
 		newTrial,
+		newDrill,
 		newReplay,
 	} {
 		x := c(s, flags)
--- a/trial.go
+++ b/trial.go
@@ -2,64 +2,95 @@
 
 import (
 	"context"
+	"io"
 	"strings"
 
 	"github.com/peterbourgon/ff/v4"
 
+	"github.com/arbutusthread/arbutusthread/drill"
 	"github.com/arbutusthread/arbutusthread/trial"
 )
 
-// trialCommand measures the policies in virtual time.
-type trialCommand struct {
+// experiment measures policies against baselines in virtual time.
+type experiment[R any] struct {
 	*shell
 	name  string
 	seeds int
+	// names are the cases in the order of the report.
+	names []string
+	// run runs one case with the seeds from 1 up, and pools the results of each policy.
+	run   func(ctx context.Context, name string, seeds int) ([]R, error)
+	write func(w io.Writer, results []R) error
 }
 
 func newTrial(s *shell, parent *ff.FlagSet) *ff.Command {
-	c := &trialCommand{shell: s}
-	flags := ff.NewFlagSet("trial").SetParent(parent)
-	flags.StringVar(&c.name, 0, "case", "", "only this case: "+strings.Join(trial.CaseNames(), ", "))
-	flags.IntVar(&c.seeds, 0, "seeds", 1, "number of seeds, counted from 1, whose runs are pooled")
-	return &ff.Command{
-		Name:      "trial",
-		Usage:     "arbutusthread trial [FLAGS]",
-		ShortHelp: "measure the policies against baselines in virtual time",
-		LongHelp: `Runs the scheduler and its baselines against models of backend servers. The same seeds
-give the same figures.
+	c := &experiment[trial.Result]{
+		shell: s, names: trial.CaseNames(), write: trial.WriteText,
+		run: func(ctx context.Context, name string, seeds int) ([]trial.Result, error) {
+			one, err := trial.FindCase(name)
+			if err != nil {
+				return nil, err
+			}
+			return trial.RunSeeds(ctx, one, seeds)
+		},
+	}
+	return c.command(parent, "trial", "measure the scheduler of slices against baselines in virtual time",
+		`Runs the scheduler of slices and its baselines against models of backend servers. The same
+seeds give the same figures.
+
+Example:
+  arbutusthread trial --case tail --seeds 10`)
+}
+
+func newDrill(s *shell, parent *ff.FlagSet) *ff.Command {
+	c := &experiment[*drill.Result]{
+		shell: s, names: drill.CaseNames(), write: drill.WriteText,
+		run: func(ctx context.Context, name string, seeds int) ([]*drill.Result, error) {
+			one, err := drill.FindCase(name)
+			if err != nil {
+				return nil, err
+			}
+			return drill.RunSeeds(ctx, one, seeds)
+		},
+	}
+	return c.command(parent, "drill", "measure how routed requests are served under load patterns and faults",
+		`Runs the engine for routed requests and plain forwarders against models of backend servers,
+each case with one load pattern or fault. The same seeds give the same figures.
 
 Example:
-  arbutusthread trial --case tail --seeds 10`,
-		Flags: flags,
-		Exec:  c.exec,
+  arbutusthread drill --case burst --seeds 10`)
+}
+
+func (c *experiment[R]) command(parent *ff.FlagSet, name, short, long string) *ff.Command {
+	flags := ff.NewFlagSet(name).SetParent(parent)
+	flags.StringVar(&c.name, 0, "case", "", "only this case: "+strings.Join(c.names, ", "))
+	flags.IntVar(&c.seeds, 0, "seeds", 1, "number of seeds, counted from 1, whose runs are pooled")
+	return &ff.Command{
+		Name: name, Usage: "arbutusthread " + name + " [FLAGS]", ShortHelp: short, LongHelp: long, Flags: flags, Exec: c.exec,
 	}
 }
 
-func (c *trialCommand) exec(ctx context.Context, args []string) error {
+func (c *experiment[R]) exec(ctx context.Context, args []string) error {
 	if err := wantArgs(args, 0, 0, "no arguments"); err != nil {
 		return err
 	}
-	cases := trial.Cases()
+	names := c.names
 	if c.name != "" {
-		one, err := trial.FindCase(c.name)
-		if err != nil {
-			return usagef("--case: %v", err)
-		}
-		cases = []trial.Case{one}
+		names = []string{c.name}
 	}
 	if c.seeds < 1 {
 		return usagef("--seeds must be at least 1")
 	}
-	var all []trial.Result
-	for _, one := range cases {
-		r, err := trial.RunSeeds(ctx, one, c.seeds)
+	var all []R
+	for _, name := range names {
+		r, err := c.run(ctx, name, c.seeds)
 		if err != nil {
-			return err
+			return usagef("--case: %v", err)
 		}
 		all = append(all, r...)
 	}
 	var text strings.Builder
-	if err := trial.WriteText(&text, all); err != nil {
+	if err := c.write(&text, all); err != nil {
 		return err
 	}
 	return c.print(all, text.String())
--- a/trial/replay.go
+++ b/trial/replay.go
@@ -54,7 +54,7 @@
 			return Result{}, nil, errors.Newf("trial: replay: request %s: case %s has no kind %q", t.RequestID, c.Name, t.Kind)
 		}
 		k.Timeout = t.Timeout.Std()
-		w.events.add(t.At.Sub(start), func() {
+		w.events.Add(t.At.Sub(start), func() {
 			w.submitRequest(&request{id: t.RequestID, kind: &k, arrived: w.now, place: i}, t.Fingerprint())
 		})
 	}
--- a/trial/serve.go
+++ b/trial/serve.go
@@ -29,7 +29,7 @@
 	f := &flight{key: key, server: server}
 	server.running[key] = f
 	w.flights[key] = f
-	w.events.add(w.now+w.setup.Model.Network, func() { w.received(s, f, v) })
+	w.events.Add(w.now+w.setup.Model.Network, func() { w.received(s, f, v) })
 }
 
 func (w *world) received(s *sender, f *flight, v sched.Send) {
@@ -63,7 +63,7 @@
 		return
 	}
 	took := time.Duration(float64(server.draw(v.RequestID, v.Shard)) * server.factor(w.now))
-	w.events.add(w.now+took, func() { w.served(s, f) })
+	w.events.Add(w.now+took, func() { w.served(s, f) })
 }
 
 // overrun crashes a cold server that has had more work than it bears for too long.
@@ -113,7 +113,7 @@
 }
 
 func (w *world) answer(s *sender, v *modelServer, key flightKey, r sched.Result, at time.Duration) {
-	w.events.add(at, func() {
+	w.events.Add(at, func() {
 		w.carryOut(s, s.slice.Done(w.time(), key.attempt, r))
 		w.checkRamp(s, v)
 	})
@@ -133,7 +133,7 @@
 
 func (w *world) cancel(s *sender, a sched.AttemptID) {
 	key := flightKey{sender: s.id, attempt: a}
-	w.events.add(w.now+w.setup.Model.Network, func() {
+	w.events.Add(w.now+w.setup.Model.Network, func() {
 		if f := w.flights[key]; f != nil {
 			w.end(s, f, sched.Result{Class: sched.Cancelled})
 		}
@@ -148,7 +148,7 @@
 	for _, f := range sortedFlights(v.running) {
 		w.end(w.senders[f.key.sender], f, v.result(sched.Crashed, ""))
 	}
-	w.events.add(w.now+w.setup.Model.Restart, func() {
+	w.events.Add(w.now+w.setup.Model.Restart, func() {
 		v.down = false
 		v.incarnation++
 		v.turnCold(w.now)
--- a/trial/world.go
+++ b/trial/world.go
@@ -9,6 +9,7 @@
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/guard"
 	"github.com/arbutusthread/arbutusthread/sched"
+	"github.com/arbutusthread/arbutusthread/vtime"
 )
 
 // epoch is the start of virtual time.
@@ -22,7 +23,7 @@
 	setup   Case
 	policy  Policy
 	now     time.Duration
-	events  events
+	events  vtime.Queue
 	senders []*sender
 	servers map[netip.AddrPort]*modelServer
 	order   []*modelServer
@@ -135,16 +136,9 @@
 		w.arrive(&w.setup.Kinds[i], 0)
 	}
 	for _, s := range w.setup.Script {
-		w.events.add(s.At, func() { s.Do(w) })
-	}
-	for {
-		e, ok := w.events.next()
-		if !ok || e.at > w.setup.Duration+drainTime {
-			break
-		}
-		w.now = e.at
-		e.do()
+		w.events.Add(s.At, func() { s.Do(w) })
 	}
+	w.events.Run(&w.now, w.setup.Duration+drainTime)
 	w.result.close(w)
 	return w.result
 }
@@ -165,7 +159,7 @@
 	if at > w.setup.Duration {
 		return
 	}
-	w.events.add(at, func() {
+	w.events.Add(at, func() {
 		w.submit(k, fmt.Sprintf("%s-%d", k.Name, n), false)
 		w.arrive(k, n+1)
 	})
@@ -236,7 +230,7 @@
 		return
 	}
 	s.wake = due
-	w.events.add(due, func() {
+	w.events.Add(due, func() {
 		if s.wake == due {
 			s.wake = 0
 		}
@@ -248,7 +242,7 @@
 	r := s.jobs[f.Job]
 	if r == nil {
 		// A request that is refused inside Submit has no entry yet.
-		w.events.add(w.now, func() { w.record(s, f) })
+		w.events.Add(w.now, func() { w.record(s, f) })
 		return
 	}
 	w.record(s, f)
--- a/trial/events.go
+++ b/vtime/queue.go
@@ -1,4 +1,6 @@
-package trial
+// Package vtime runs events in virtual time, so that a run with the same seed always gives the same
+// figures.
+package vtime
 
 import "time"
 
@@ -16,14 +18,15 @@
 	return e.order < o.order
 }
 
-// events is a heap with the next event in front. It does not use container/heap, which allocates for
-// each event.
-type events struct {
+// Queue is a heap with the next event in front. It does not use container/heap, which allocates for
+// each event. Its zero value is empty. It is not safe for concurrent use.
+type Queue struct {
 	list []event
 	last uint64
 }
 
-func (q *events) add(at time.Duration, do func()) {
+// Add adds an event.
+func (q *Queue) Add(at time.Duration, do func()) {
 	q.last++
 	e := event{at: at, order: q.last, do: do}
 	q.list = append(q.list, e)
@@ -39,7 +42,7 @@
 	q.list[i] = e
 }
 
-func (q *events) next() (event, bool) {
+func (q *Queue) next() (event, bool) {
 	if len(q.list) == 0 {
 		return event{}, false
 	}
@@ -54,7 +57,7 @@
 }
 
 // sink puts an event in the place of the first one and moves it down.
-func (q *events) sink(e event) {
+func (q *Queue) sink(e event) {
 	i := 0
 	for {
 		c := 2*i + 1
@@ -72,3 +75,16 @@
 	}
 	q.list[i] = e
 }
+
+// Run carries out the events until the time end, and sets now to the time of each. Events may add
+// others.
+func (q *Queue) Run(now *time.Duration, end time.Duration) {
+	for {
+		e, ok := q.next()
+		if !ok || e.at > end {
+			return
+		}
+		*now = e.at
+		e.do()
+	}
+}
