Let the servers of saturated shards work for the requests that need them

A shard that is expected after the target is held back when the answer can do without it. A server that takes four times as long gets half of its slots from a node, since what waits at the node can still be left out.

--- a/drill/drill_test.go
+++ b/drill/drill_test.go
@@ -55,3 +55,29 @@
 	is := is.New(t)
 	is.True(reflect.DeepEqual(Run(Impatient(), InUse(), 5), Run(Impatient(), InUse(), 5)))
 }
+
+// Guards against capacity of saturated shards that goes to requests which need not have it, and against
+// repeated requests that find no room: fewer requests may end without an answer than with a forwarder that
+// hedges without a bound.
+func TestWorstLoads(t *testing.T) {
+	t.Parallel()
+	for _, c := range []Case{Saturated(), Impatient(), Burst()} {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			all, err := RunSeeds(t.Context(), c, seeds)
+			is.NoErr(err)
+			ours, hedging := all[0].unanswered(), all[2].unanswered()
+			t.Logf("%d requests without an answer, hedging forwarder %d", ours, hedging)
+			is.True(ours < hedging)
+		})
+	}
+}
+
+func (r *Result) unanswered() int {
+	n := 0
+	for _, k := range r.Kinds {
+		n += k.Refused + k.Failed
+	}
+	return n
+}
--- a/gather/choose.go
+++ b/gather/choose.go
@@ -15,6 +15,10 @@
 	// stallSlowness is the slowness of a stalled server, and coldSlowness of a cold one.
 	stallSlowness = 8.0
 	coldSlowness  = 1.6
+	// queueSlowness is the slowness from which on a node sends a server only half as many requests as
+	// it runs at once. What waits at the nodes can still be sent elsewhere or left out, and what waits at
+	// the server cannot.
+	queueSlowness = 4.0
 )
 
 // choose returns the server for the next attempt of a task, or nil when none can take it now. A nil
@@ -64,14 +68,27 @@
 	if now.Before(s.fullUntil) {
 		return false
 	}
+	if len(s.open) >= max(1, s.Slots/2) && s.slownessNow(now) > queueSlowness {
+		return false
+	}
 	if s.ColdRate > 0 && s.cold(now) {
 		return float64(s.sent.count(now)+1) <= s.ColdRate/float64(nodes)
 	}
 	return true
 }
 
-// score is the expected latency of a request relative to the typical one of its class.
+// score ranks a server for a request, the best one with the least score.
 func (e *Engine) score(now time.Time, j *job, s *server) float64 {
+	v := e.slowness(now, j, s)
+	if s.FailureDomain != e.config.FailureDomain {
+		v *= domainPenalty
+	}
+	// Equal servers share the load.
+	return v * (1 + tieSpread*e.rand.Float64())
+}
+
+// slowness is the expected latency of a request at a server relative to the typical one of its class.
+func (e *Engine) slowness(now time.Time, j *job, s *server) float64 {
 	v := s.slownessNow(now)
 	if s.cold(now) {
 		v = max(v, coldSlowness)
@@ -82,11 +99,7 @@
 	if queue := len(s.open) + 1 - s.Slots; queue > 0 && s.Slots > 0 {
 		v *= 1 + float64(queue)/float64(s.Slots)
 	}
-	if s.FailureDomain != e.config.FailureDomain {
-		v *= domainPenalty
-	}
-	// Equal servers share the load.
-	return v * (1 + tieSpread*e.rand.Float64())
+	return v
 }
 
 // tieSpread is the part of a score that is drawn, so that nodes with equal views do not choose alike.
--- a/gather/finish.go
+++ b/gather/finish.go
@@ -5,21 +5,30 @@
 // hedgeTime returns when a shard that has not been answered gets a hedge: as late as a hedge can
 // still be expected to be answered before the target, so that few requests need one, but not before
 // the typical latency has passed.
-func (e *Engine) hedgeTime(now time.Time, j *job) time.Time {
+func (e *Engine) hedgeTime(now time.Time, t *task) time.Time {
+	j := t.job
 	if !j.Idempotent || j.MaxAttempts < 2 {
 		return time.Time{}
 	}
+	_, latest := e.hedgeTimes(now, j)
+	return latest
+}
+
+// hedgeTimes returns the earliest and the latest time for a hedge.
+func (e *Engine) hedgeTimes(now time.Time, j *job) (earliest, latest time.Time) {
 	tail := j.class.tail()
-	latest := j.Target.Add(-tail * hedgeTails)
-	earliest := now.Add(j.class.typical() + tail/2)
+	earliest = now.Add(j.class.typical() + tail/2)
+	latest = j.Target.Add(-tail * hedgeTails)
 	if j.Target.IsZero() || latest.Before(earliest) {
-		return earliest
+		latest = earliest
 	}
-	return latest
+	return earliest, latest
 }
 
-// hedgeTails is the number of tail latencies left for a hedge before the target.
-const hedgeTails = 1
+const (
+	// hedgeTails is the number of tail latencies left for a hedge before the target.
+	hedgeTails = 1
+)
 
 // hedge sends a second attempt of each task that is due.
 func (e *Engine) hedge(now time.Time, j *job, act *Actions) {
@@ -58,6 +67,9 @@
 	case j.answered+j.lost == total, !j.Target.IsZero() && !now.Before(j.Target):
 		e.finish(j, Partial, act)
 	}
+	if act.Finished == nil && j.waiting > 0 {
+		e.sendNeeded(now, j, act)
+	}
 }
 
 func (e *Engine) finish(j *job, end End, act *Actions) {
--- a/gather/job.go
+++ b/gather/job.go
@@ -39,9 +39,9 @@
 	started  time.Time
 	tasks    []task
 	answered int
-	// lost counts tasks that can no longer be answered.
-	lost int
-	sent bool
+	// lost counts tasks that can no longer be answered, and waiting those that wait to be sent.
+	lost, waiting int
+	sent          bool
 	// reason is the last cause of a lost task.
 	reason string
 }
@@ -118,7 +118,7 @@
 		}
 		tasks = append(tasks, t)
 	}
-	for _, t := range e.sendRelayed(now, j, tasks, Primary, &act) {
+	for _, t := range e.sendRelayed(now, j, e.holdBack(now, j, tasks), Primary, &act) {
 		e.place(now, t, Primary, &act)
 	}
 	e.conclude(now, j, &act)
@@ -185,11 +185,15 @@
 		j.lose(t, "no server of "+t.pool.name+" can take it", act)
 	case s == nil:
 		e.wait(t, time.Time{})
+	case len(t.pool.waiting) > 0 && !j.Relayed:
+		// Others may need the room more.
+		e.wait(t, time.Time{})
+		e.dispatch(now, t.pool, act)
 	case !e.afford(now, t):
 		e.wait(t, now.Add(budgetPause))
 	default:
 		e.send(now, t, s, p, act)
-		t.hedgeAt = e.hedgeTime(now, j)
+		t.hedgeAt = e.hedgeTime(now, t)
 	}
 }
 
--- a/gather/relay.go
+++ b/gather/relay.go
@@ -154,13 +154,14 @@
 func (e *Engine) sendRelay(now time.Time, j *job, n *relayNode, group []*task, p Purpose, act *Actions) {
 	e.lastRelay++
 	r := &relayCall{id: e.lastRelay, job: j, node: n, attempts: make(map[int]*attempt, len(group))}
+	_, hedgeAt := e.hedgeTimes(now, j)
 	e.relayCalls[r.id] = r
 	s := RelaySend{Relay: r.id, Job: j.id, Address: n.Address, Deadline: j.Deadline, ReplyAt: e.replyAt(now, j, p)}
 	for _, t := range group {
 		a := &attempt{job: j, task: t, relay: r, domain: n.FailureDomain, purpose: p, sentAt: now, extra: !t.isUnsent()}
 		t.attempts = append(t.attempts, a)
-		if p == Primary {
-			t.hedgeAt = e.hedgeTime(now, j)
+		if p == Primary && j.MaxAttempts > 1 {
+			t.hedgeAt = hedgeAt
 		}
 		n.open = append(n.open, a)
 		r.attempts[t.index] = a
@@ -176,7 +177,7 @@
 // replyAt returns when a relay should send what it has: before hedges are due or, when it runs hedges,
 // before the target.
 func (e *Engine) replyAt(now time.Time, j *job, p Purpose) time.Time {
-	at := e.hedgeTime(now, j)
+	_, at := e.hedgeTimes(now, j)
 	if p != Primary {
 		at = now.Add(j.class.tail())
 		if now.Before(j.Target) {
--- a/gather/wait.go
+++ b/gather/wait.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -18,6 +19,9 @@
 
 // wait lets a task wait for room at a server of its pool, or until a time when that is set.
 func (e *Engine) wait(t *task, until time.Time) {
+	if !t.waiting {
+		t.job.waiting++
+	}
 	t.waiting, t.retryAt, t.hedgeAt = true, until, time.Time{}
 	if !until.IsZero() {
 		return
@@ -32,6 +36,14 @@
 	}
 }
 
+// resume ends the wait of a task.
+func (t *task) resume() {
+	if t.waiting {
+		t.job.waiting--
+	}
+	t.waiting, t.retryAt = false, time.Time{}
+}
+
 // isWaiting reports whether the task still waits for room.
 func (e *Engine) isWaiting(t *task) bool {
 	return t.waiting && t.retryAt.IsZero() && !t.answered && !t.lost && e.jobs[t.job.id] == t.job
@@ -48,22 +60,146 @@
 
 // dispatch sends the tasks that wait for the servers of a pool, as far as there is room.
 func (e *Engine) dispatch(now time.Time, p *pool, act *Actions) {
-	for len(p.waiting) > 0 {
-		t := p.waiting[0]
-		if e.isWaiting(t) {
-			s := e.choose(now, t.job, p, t)
-			if s == nil {
-				return
-			}
-			if e.afford(now, t) {
-				t.waiting = false
-				e.send(now, t, s, t.purpose(), act)
-				t.hedgeAt = e.hedgeTime(now, t.job)
-			} else {
-				t.retryAt = now.Add(budgetPause)
-			}
+	if len(p.waiting) == 0 {
+		return
+	}
+	p.clean(e)
+	for {
+		i, s := e.next(now, p)
+		if s == nil {
+			return
+		}
+		t := p.waiting[i]
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		if !e.afford(now, t) {
+			t.retryAt = now.Add(budgetPause)
+			continue
+		}
+		t.resume()
+		e.send(now, t, s, t.purpose(), act)
+		t.hedgeAt = e.hedgeTime(now, t)
+	}
+}
+
+// next returns the index of the waiting task that is sent first and its server, or no server when no task
+// can be sent now. Among equals it is the one with the highest priority that has waited longest.
+func (e *Engine) next(now time.Time, p *pool) (int, *server) {
+	best, least := 0, useless
+	var to *server
+	for i, t := range p.waiting {
+		s := e.choose(now, t.job, p, t)
+		if s == nil {
+			continue
+		}
+		if u := e.useOf(now, t, s); u < least {
+			best, least, to = i, u, s
+		}
+		if least == inTime {
+			break
+		}
+	}
+	return best, to
+}
+
+// use is what sending a waiting task is good for.
+type use int
+
+// Uses in the order in which tasks are sent.
+const (
+	// inTime tasks are needed for the coverage of their request and can be answered before its target,
+	// late ones before its deadline.
+	inTime use = iota
+	late
+	// optional tasks add to the coverage of a request that can be answered without them.
+	optional
+	// hopeless tasks are needed and are expected after the deadline. Expectations may be wrong.
+	hopeless
+	// useless tasks would be answered after their request.
+	useless
+)
+
+func (e *Engine) useOf(now time.Time, t *task, s *server) use {
+	j := t.job
+	done := now.Add(e.expect(now, j, s))
+	afterTarget := !j.Target.IsZero() && done.After(j.Target)
+	switch {
+	case j.waiting <= j.spare() && (afterTarget || s.ejected(now)):
+		return useless
+	case j.waiting <= j.spare():
+		return optional
+	case !afterTarget:
+		return inTime
+	case done.Before(j.Deadline):
+		return late
+	}
+	return hopeless
+}
+
+// spare returns the number of shards that an answer can do without, beside those that are lost.
+func (j *job) spare() int {
+	n := len(j.tasks)
+	return n - j.lost - int(math.Ceil(j.MinCoverage*float64(n)-coverageSlack))
+}
+
+// expect returns the time that a request is expected to take at a server.
+func (e *Engine) expect(now time.Time, j *job, s *server) time.Duration {
+	return time.Duration(e.slowness(now, j, s) * float64(j.class.typical()))
+}
+
+// expectOf returns the time that a request is expected to take at the best server of a pool, and false
+// when there is none.
+func (e *Engine) expectOf(now time.Time, j *job, p *pool) (time.Duration, bool) {
+	var least time.Duration
+	found := false
+	for _, s := range p.servers {
+		if !s.isListed() || s.ejected(now) {
+			continue
+		}
+		if d := e.expect(now, j, s); !found || d < least {
+			least, found = d, true
+		}
+	}
+	return least, found
+}
+
+// holdBack lets the shards wait that are expected after the target, as many as the answer can do without,
+// and returns the others. The servers of a saturated shard then work for the requests that need it.
+func (e *Engine) holdBack(now time.Time, j *job, tasks []*task) []*task {
+	spare := j.spare()
+	if j.Relayed || j.Target.IsZero() || spare <= 0 {
+		return tasks
+	}
+	type slow struct {
+		task   *task
+		expect time.Duration
+	}
+	var held []slow
+	for _, t := range tasks {
+		d, ok := e.expectOf(now, j, t.pool)
+		if !ok {
+			d = math.MaxInt64
+		}
+		if d > j.Target.Sub(now) {
+			held = append(held, slow{t, d})
+		}
+	}
+	slices.SortStableFunc(held, func(a, b slow) int { return cmp.Compare(b.expect, a.expect) })
+	held = held[:min(spare, len(held))]
+	for _, x := range held {
+		e.wait(x.task, time.Time{})
+	}
+	return slices.DeleteFunc(tasks, func(t *task) bool { return t.waiting })
+}
+
+// sendNeeded sends waiting tasks of a request that cannot be answered without some of them.
+func (e *Engine) sendNeeded(now time.Time, j *job, act *Actions) {
+	for i := range j.tasks {
+		if j.waiting <= j.spare() {
+			return
+		}
+		if t := &j.tasks[i]; e.isWaiting(t) {
+			e.dispatch(now, t.pool, act)
 		}
-		p.waiting = p.waiting[1:]
 	}
 }
 
@@ -80,7 +216,7 @@
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.waiting && !t.retryAt.IsZero() && !now.Before(t.retryAt) && !t.answered && !t.lost {
-			t.waiting, t.retryAt = false, time.Time{}
+			t.resume()
 			e.place(now, t, t.purpose(), act)
 		}
 	}
