Hedge as early as the retry budget allows

Cause: hedges waited until the last moment before the target although a third of the budget was used, so that a hedge which met a second slow server came late. The hedge is due as soon as most answers are in, and moves to the last moment as the budget is used up to half.

--- a/gather/budget.go
+++ b/gather/budget.go
@@ -57,19 +57,37 @@
 	if c.Window <= 0 {
 		return true
 	}
+	extra, limit := b.sum(c, now, nodes)
+	if float64(extra+1) > limit {
+		return false
+	}
+	b.extra[b.last%int64(len(b.extra))]++
+	return true
+}
+
+// used returns the part of the budget that is spent, between 0 and 1.
+func (b *budget) used(c *BudgetConfig, now time.Time, nodes int) float64 {
+	if c.Window <= 0 {
+		return 0
+	}
+	extra, limit := b.sum(c, now, nodes)
+	if limit <= 0 {
+		return 1
+	}
+	return min(1, float64(extra)/limit)
+}
+
+// sum returns the extra arrivals of the window and the most that are allowed.
+func (b *budget) sum(c *BudgetConfig, now time.Time, nodes int) (extra int, limit float64) {
 	b.slide(c, now)
-	first, extra := 0, 0
+	first := 0
 	for i := range b.first {
 		first += b.first[i]
 		extra += b.extra[i]
 	}
 	// The oldest bucket is in the window only in part.
 	first -= b.first[(b.last+1)%int64(len(b.first))]
-	if float64(extra+1) > budgetShare*(c.Ratio*float64(first)+c.Slack/float64(nodes)) {
-		return false
-	}
-	b.extra[b.last%int64(len(b.extra))]++
-	return true
+	return extra, budgetShare * (c.Ratio*float64(first) + c.Slack/float64(nodes))
 }
 
 // refund gives back an extra arrival of the given time that did not reach a server.
--- a/gather/budget_test.go
+++ b/gather/budget_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // Guards against more retries than the bound when the traffic swings: the windows of the bound begin at
@@ -42,3 +44,26 @@
 	}
 	return first, extra
 }
+
+// Guards against hedges that use the budget up early, and against shards that wait although the budget is
+// hardly used.
+func TestHedgesAreLaterWhenTheBudgetIsUsed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	e := New(Config{FailureDomain: here, Budget: BudgetConfig{Slack: 10, Window: 10 * time.Second}})
+	e.SetPools(epoch, []Pool{pair("a")})
+	r := Request{
+		Class: "r", Pools: []string{"a"}, Idempotent: true, MinCoverage: 1, MaxAttempts: 2,
+		Deadline: epoch.Add(time.Second), Target: epoch.Add(100 * time.Millisecond),
+	}
+	hedgeAt := func() time.Duration {
+		id, _ := e.Submit(epoch, r)
+		return e.NextWake(epoch, id).Sub(epoch)
+	}
+	const typical, tail = 20 * time.Millisecond, 40 * time.Millisecond // of a class without answers
+	is.Equal(hedgeAt(), typical+tail/2)
+	for e.pools["a"].budget.used(&e.config.Budget, epoch, 1) < lateHedgeUse {
+		is.True(e.pools["a"].budget.spend(&e.config.Budget, epoch, 1))
+	}
+	is.Equal(hedgeAt(), r.Target.Sub(epoch)-tail)
+}
--- a/gather/finish.go
+++ b/gather/finish.go
@@ -2,16 +2,17 @@
 
 import "time"
 
-// hedgeTime returns when a shard that has not been answered gets a hedge: as late as a hedge can
-// still be expected to be answered before the target, so that few requests need one, but not before
-// the typical latency has passed.
+// hedgeTime returns when a shard that has not been answered gets a hedge. While the budget is not used,
+// that is as soon as most answers are in. The more of it is used, the later it is, up to the last moment
+// at which a hedge can still be expected to be answered before the target.
 func (e *Engine) hedgeTime(now time.Time, t *task) time.Time {
 	j := t.job
 	if !j.Idempotent || j.MaxAttempts < 2 {
 		return time.Time{}
 	}
-	_, latest := e.hedgeTimes(now, j)
-	return latest
+	earliest, latest := e.hedgeTimes(now, j)
+	used := min(1, t.pool.budget.used(&e.config.Budget, now, e.nodes)/lateHedgeUse)
+	return earliest.Add(time.Duration(used * float64(latest.Sub(earliest))))
 }
 
 // hedgeTimes returns the earliest and the latest time for a hedge.
@@ -28,6 +29,8 @@
 const (
 	// hedgeTails is the number of tail latencies left for a hedge before the target.
 	hedgeTails = 1
+	// lateHedgeUse is the part of the budget from which on hedges are as late as they can be.
+	lateHedgeUse = 0.5
 )
 
 // hedge sends a second attempt of each task that is due.
