Keep requests that run once away from servers that fail

Each node keeps a moving average of failures for each server; it adds little to the score of a server for requests that can be sent again, and much for others. A line tells which shards are held back. Ruled out: ejection after the first failure, which takes servers from queries that a retry serves. Test: TestOnceRequestsAvoidFailingServers (before: the near server is used on).

--- a/gather/choose.go
+++ b/gather/choose.go
@@ -15,6 +15,10 @@
 	// stallSlowness is the slowness of a stalled server, and coldSlowness of a cold one.
 	stallSlowness = 8.0
 	coldSlowness  = 1.6
+	// retryCost is what a failed attempt costs in typical latencies when the request can be sent again, and
+	// failureCost when it cannot, so that its caller gets no answer.
+	retryCost   = 3.0
+	failureCost = 40.0
 	// queueSlowness is the slowness from which on a node sends a server only half as many requests as
 	// it runs at once. What waits at the nodes can still be sent elsewhere or left out, and what waits at
 	// the server cannot.
@@ -80,6 +84,11 @@
 // score ranks a server for a request, the best one with the least score.
 func (e *Engine) score(now time.Time, j *job, s *server) float64 {
 	v := e.slowness(now, j, s)
+	cost := retryCost
+	if !j.Idempotent {
+		cost = failureCost
+	}
+	v *= 1 + cost*s.failingNow(now)
 	if s.FailureDomain != e.config.FailureDomain {
 		v *= domainPenalty
 	}
--- a/gather/engine_test.go
+++ b/gather/engine_test.go
@@ -325,6 +325,29 @@
 	is.Equal(again.Sends[1].Job, id)
 }
 
+// Guards against requests that must not run twice at a server that has just failed one, while there are
+// others: their callers would get no answer.
+func TestOnceRequestsAvoidFailingServers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture()
+	once := func() Send {
+		r := f.request("a")
+		r.Idempotent = false
+		return f.submit(r).Sends[0]
+	}
+	s := once()
+	is.Equal(s.Server.ID, "a-near")
+	f.done(s, Broken)
+	for range 20 {
+		s := once()
+		is.Equal(s.Server.ID, "a-far")
+		f.done(s, OK)
+	}
+	f.after(time.Minute)
+	is.Equal(once().Server.ID, "a-near")
+}
+
 // Guards against saturated shards whose servers work for requests that can be answered without them,
 // while others fail for want of one.
 func TestSaturatedShardsServeWhoNeedsThem(t *testing.T) {
--- a/gather/health.go
+++ b/gather/health.go
@@ -11,6 +11,10 @@
 	// slownessHalfLife is the time in which an old measurement of slowness loses half of its
 	// effect, so that a server that was slow is tried again.
 	slownessHalfLife = 2 * time.Second
+	// failingWeight is the weight of an attempt in the moving average of failures, which loses half of its
+	// value in failingHalfLife.
+	failingWeight   = 0.3
+	failingHalfLife = 4 * time.Second
 	// isolatedRatio bounds a sample of the slowness that follows a normal one, and longestRatio any.
 	isolatedRatio = 2.0
 	longestRatio  = 12.0
@@ -32,6 +36,9 @@
 	last float64
 	// answeredAt is the time of the last answer.
 	answeredAt time.Time
+	// failing is the moving average of the share of attempts that failed.
+	failing   float64
+	failingAt time.Time
 	// failures counts the failures in a row.
 	failures     int
 	ejections    int
@@ -61,6 +68,24 @@
 	return 1 + (h.slowness-1)*math.Exp2(-float64(age)/float64(slownessHalfLife))
 }
 
+// tried includes whether an attempt failed.
+func (h *health) tried(now time.Time, failed bool) {
+	v := h.failingNow(now)
+	x := 0.0
+	if failed {
+		x = 1
+	}
+	h.failing, h.failingAt = v+failingWeight*(x-v), now
+}
+
+// failingNow returns the share of attempts that failed, which approaches 0 while nothing is measured.
+func (h *health) failingNow(now time.Time) float64 {
+	if h.failing == 0 {
+		return 0
+	}
+	return h.failing * math.Exp2(-float64(now.Sub(h.failingAt))/float64(failingHalfLife))
+}
+
 // succeed records an answer.
 func (h *health) succeed(now time.Time) {
 	h.answeredAt = now
--- a/gather/job.go
+++ b/gather/job.go
@@ -118,7 +118,7 @@
 		}
 		tasks = append(tasks, t)
 	}
-	for _, t := range e.sendRelayed(now, j, e.holdBack(now, j, tasks), Primary, &act) {
+	for _, t := range e.sendRelayed(now, j, e.holdBack(now, j, tasks, &act), Primary, &act) {
 		e.place(now, t, Primary, &act)
 	}
 	e.conclude(now, j, &act)
@@ -301,10 +301,12 @@
 	case OK, Answered:
 		c.latencies.Add(r.Latency)
 		s.observe(now, float64(r.Latency)/typical)
+		s.tried(now, false)
 		s.succeed(now)
 		s.grow()
 	case ServerError:
 		s.answeredAt = now
+		s.tried(now, true)
 		e.ejectAfter(now, s, false, r, act)
 	case NotRun, Full:
 		// The server is alive and full.
@@ -317,6 +319,7 @@
 	case Unsent:
 		e.ejectAfter(now, s, true, r, act)
 	case Broken:
+		s.tried(now, true)
 		e.ejectAfter(now, s, false, r, act)
 	case TimedOut, Canceled:
 		if a.givenUp {
@@ -326,6 +329,7 @@
 			s.observe(now, elapsed/typical)
 		}
 		if r.Class == TimedOut && s.answeredAt.Before(a.sentAt) {
+			s.tried(now, true)
 			e.ejectAfter(now, s, false, r, act)
 		}
 	}
--- a/gather/wait.go
+++ b/gather/wait.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -164,7 +165,7 @@
 
 // holdBack lets the shards wait that are expected after the target, as many as the answer can do without,
 // and returns the others. The servers of a saturated shard then work for the requests that need it.
-func (e *Engine) holdBack(now time.Time, j *job, tasks []*task) []*task {
+func (e *Engine) holdBack(now time.Time, j *job, tasks []*task, act *Actions) []*task {
 	spare := j.spare()
 	if j.Relayed || j.Target.IsZero() || spare <= 0 {
 		return tasks
@@ -185,9 +186,23 @@
 	}
 	slices.SortStableFunc(held, func(a, b slow) int { return cmp.Compare(b.expect, a.expect) })
 	held = held[:min(spare, len(held))]
-	for _, x := range held {
+	if len(held) == 0 {
+		return tasks
+	}
+	detail := "expected after the target, which is in " + milliseconds(j.Target.Sub(now)) + ":"
+	for i, x := range held {
 		e.wait(x.task, time.Time{})
+		switch {
+		case i == maxMissing:
+			detail += " and " + strconv.Itoa(len(held)-maxMissing) + " more"
+		case i > maxMissing:
+		case x.expect == math.MaxInt64:
+			detail += " " + x.task.pool.name + " has no usable server"
+		default:
+			detail += " " + x.task.pool.name + " takes " + milliseconds(x.expect)
+		}
 	}
+	act.Events = append(act.Events, Event{Name: "hold back", Job: j.id, Detail: detail})
 	return slices.DeleteFunc(tasks, func(t *task) bool { return t.waiting })
 }
 
