--- a/main_test.go
+++ b/main_test.go
@@ -107,6 +107,9 @@
 		{"status --ops 127.0.0.1:1 -t 1s", "", exitFailed, "127.0.0.1:1"},
 		{"explain --ops NODE 5f0c", "", exitOK, "- 1\n  Step: plan"},
 		{"explain --ops NODE absent", "", exitFailed, "no decision"},
+		{"explain --logs - r1", `{"time":"2026-03-25T09:17:34Z","msg":"answered","Node":"n","RequestId":"r1","Status":504}`, exitOK, "+0.0ms  n  answered  Status=504"},
+		{"explain --logs - r2", `{"time":"2026-03-25T09:17:34Z","msg":"answered","RequestId":"r1"}`, exitFailed, "no line of 1 is about request r2"},
+		{"explain --logs absent.log r1", "", exitFailed, "absent.log"},
 	}
 	for _, x := range tests {
 		t.Run(x.line, func(t *testing.T) {
