Soak nodes as processes under faults from outside

arbutusthread soak runs nodes of routes as processes with stand-ins behind loopback proxies. Not covered: faults between nodes, clocks.

--- a/main.go
+++ b/main.go
@@ -76,6 +76,7 @@
 		newDemo,
 		newTrial,
 		newDrill,
+		newSoak,
 		newReplay,
 	} {
 		x := c(s, flags)
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,121 @@
+package soak
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// process is one node. It is started again when it ends.
+type process struct {
+	name     string
+	binary   string
+	settings string
+	log      *os.File
+	domain   string
+	caller   netip.AddrPort
+	// directory is asked for addresses.
+	directory netip.AddrPort
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	done    chan struct{}
+	// starts counts the starts, so that what a caller saw can be tied to one of them.
+	starts int
+	// expected means that the end of the process was asked for.
+	expected bool
+	// exits are ends that nobody asked for.
+	exits  []string
+	closed bool
+}
+
+// start starts the process. The lock must be held.
+func (p *process) start() error {
+	c := exec.CommandContext(context.Background(), p.binary, "node", "--config", p.settings)
+	c.Stdout, c.Stderr = p.log, p.log
+	if err := c.Start(); err != nil {
+		return errors.Wrapf(err, "soak: start %s", p.name)
+	}
+	p.command, p.done, p.expected = c, make(chan struct{}), false
+	p.starts++
+	go p.wait(c, p.done)
+	return nil
+}
+
+func (p *process) wait(c *exec.Cmd, done chan struct{}) {
+	err := c.Wait()
+	p.mu.Lock()
+	if !p.expected {
+		p.exits = append(p.exits, p.name+": "+describe(err))
+	}
+	p.mu.Unlock()
+	close(done)
+}
+
+func describe(err error) string {
+	if err == nil {
+		return "exit code 0"
+	}
+	return err.Error()
+}
+
+// signal sends a signal to the running process.
+func (p *process) signal(s os.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		p.expected = true
+	}
+	// A process that has ended takes no signal, and needs none.
+	_ = p.command.Process.Signal(s)
+}
+
+// restart starts the process again when it has ended, at the latest after the time, when it is killed.
+func (p *process) restart(within time.Duration) error {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(within):
+		p.signal(syscall.SIGKILL)
+		<-done
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
+	return p.start()
+}
+
+// run returns the number of the running start.
+func (p *process) run() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts
+}
+
+// close ends the process for good.
+func (p *process) close() {
+	p.mu.Lock()
+	p.closed, p.expected = true, true
+	command, done := p.command, p.done
+	p.mu.Unlock()
+	if command == nil {
+		return
+	}
+	// A paused process takes SIGKILL too.
+	_ = command.Process.Kill()
+	<-done
+	_ = p.log.Close()
+}
+
+func isEOF(err error) bool { return errors.Is(err, io.EOF) }
--- /dev/null
+++ b/soak/world.go
@@ -0,0 +1,264 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/stand"
+	"github.com/arbutusthread/arbutusthread/table"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+const (
+	shards          = 6
+	serversPerShard = 2
+	shopServers     = 3
+	topK            = 10
+	minCoverage     = 0.6
+	maxAttempts     = 2
+	routeTimeout    = time.Second
+	routeTarget     = 100 * time.Millisecond
+	// workTime is how long a server takes for a request.
+	workTime = 4 * time.Millisecond
+	// applyTime is the time in which a change must be in force, and stopTime that of a planned stop.
+	applyTime = 3 * time.Second
+	stopTime  = 3 * time.Second
+
+	searchHost = "search.example"
+	shopHost   = "shop.example"
+	probeHost  = "probe.example"
+)
+
+var domains = []string{"lukang", "yilan", "chiayi"}
+
+// backend is one backend server behind its proxy.
+type backend struct {
+	service string
+	domain  string
+	server  *stand.RoutedServer
+	proxy   *proxy
+}
+
+// id is what nodes know the server by.
+func (b *backend) id() string { return b.proxy.address().String() }
+
+// world is a fleet with everything around it.
+type world struct {
+	config    Config
+	dir       string
+	platform  *stand.Platform
+	web       *http.Server
+	webAt     netip.AddrPort
+	backends  []*backend
+	nodes     []*process
+	platforms []*proxy
+	callers   map[netip.AddrPort]*proxy
+	record    *record
+
+	mu       sync.Mutex
+	document *conf.Document
+}
+
+func newWorld(c Config, dir string) (*world, error) {
+	w := &world{config: c, dir: dir, callers: make(map[netip.AddrPort]*proxy), record: newRecord()}
+	if err := w.startBackends(); err != nil {
+		return w, err
+	}
+	w.document = w.firstDocument()
+	var err error
+	if w.platform, err = stand.NewPlatform(stand.PlatformConfig{Document: w.document}); err != nil {
+		return w, err
+	}
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return w, errors.Wrap(err, "soak: listen for the platform")
+	}
+	w.webAt = l.Addr().(*net.TCPAddr).AddrPort()
+	w.web = &http.Server{Handler: w.platform, ReadHeaderTimeout: time.Minute}
+	go func() { _ = w.web.Serve(l) }()
+	return w, w.startNodes()
+}
+
+func (w *world) startBackends() error {
+	for i := range shards {
+		for k := range serversPerShard {
+			if err := w.startBackend(fmt.Sprintf("shard-%d", i), domains[(i+k)%len(domains)]); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range shopServers {
+		if err := w.startBackend("shop", domains[i%len(domains)]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *world) startBackend(service, domain string) error {
+	s, err := stand.NewRoutedServer(netip.MustParseAddrPort("127.0.0.1:0"), stand.RoutedConfig{
+		Slots: 4, Queue: 16, Connections: 60, Delay: workTime, Seed: w.config.Seed + uint64(len(w.backends)),
+	})
+	if err != nil {
+		return err
+	}
+	b := &backend{service: service, domain: domain, server: s}
+	w.backends = append(w.backends, b)
+	if b.proxy, err = newProxy(s.Address()); err != nil {
+		return err
+	}
+	s.SetID(b.id())
+	return nil
+}
+
+func (w *world) firstDocument() *conf.Document {
+	d := &conf.Document{Version: 1, Preset: "ordinary", Presets: []conf.Preset{{Name: "ordinary", HedgeBudget: 0.02, RetryBudget: 0.1, QueueLimit: 256}}}
+	for _, n := range domains {
+		d.FailureDomains = append(d.FailureDomains, conf.FailureDomain{Name: n, Region: "tw", State: conf.DomainIn})
+	}
+	search := table.Route{
+		Name: "search", Host: searchHost, Prefix: "/", Idempotent: true, TopK: topK, MinCoverage: minCoverage,
+		Timeout: wire.Duration(routeTimeout), TargetLatency: wire.Duration(routeTarget), MaxAttempts: maxAttempts,
+	}
+	services := make(map[string]*conf.Service)
+	var order []string
+	for _, b := range w.backends {
+		s := services[b.service]
+		if s == nil {
+			s = &conf.Service{Name: b.service}
+			services[b.service] = s
+			order = append(order, b.service)
+		}
+		s.Servers = append(s.Servers, conf.BackendServer{Address: b.proxy.address(), FailureDomain: b.domain, Slots: 4, ColdSlots: 1, Connections: 60})
+	}
+	for _, name := range order {
+		d.Services = append(d.Services, *services[name])
+		if name != "shop" {
+			search.Shards = append(search.Shards, name)
+		}
+	}
+	shop := table.Route{
+		Name: "order", Host: shopHost, Prefix: "/order/", Targets: []table.Target{{Service: "shop", Weight: 1}},
+		Timeout: wire.Duration(routeTimeout), TargetLatency: wire.Duration(routeTarget), MaxAttempts: maxAttempts,
+	}
+	lookup := shop
+	lookup.Name, lookup.Prefix, lookup.Idempotent = "lookup", "/lookup/", true
+	d.Routes = []table.Route{search, shop, lookup}
+	return d
+}
+
+// update publishes a changed document and returns its version and the time at which it was accepted.
+func (w *world) update(change func(*conf.Document)) (uint64, time.Time, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	raw, err := json.Marshal(w.document)
+	if err != nil {
+		return 0, time.Time{}, errors.Wrap(err, "soak: copy document")
+	}
+	var next conf.Document
+	if err := json.Unmarshal(raw, &next); err != nil {
+		return 0, time.Time{}, errors.Wrap(err, "soak: copy document")
+	}
+	change(&next)
+	next.Version++
+	if err := w.platform.Publish(&next); err != nil {
+		return 0, time.Time{}, err
+	}
+	w.document = &next
+	return next.Version, time.Now(), nil
+}
+
+// startNodes starts the nodes, each on a loopback address of its own, as the addresses of nodes are their
+// identity and have the same ports.
+func (w *world) startNodes() error {
+	ip := func(i int) netip.Addr {
+		return netip.AddrFrom4([4]byte{127, 100 + byte(w.config.Seed%100), byte(os.Getpid()), byte(i + 1)})
+	}
+	const base = 7600 // the ports are free on addresses that only this run uses
+	var seeds []netip.AddrPort
+	for i := range min(3, w.config.Nodes) {
+		seeds = append(seeds, netip.AddrPortFrom(ip(i), base))
+	}
+	for i := range w.config.Nodes {
+		p, err := newProxy(w.webAt)
+		if err != nil {
+			return err
+		}
+		w.platforms = append(w.platforms, p)
+		n := &process{
+			name: fmt.Sprintf("node-%d", i), binary: w.config.Binary, domain: domains[i%len(domains)],
+			caller: netip.AddrPortFrom(ip(i), base+1), directory: netip.AddrPortFrom(ip(i), base+3),
+		}
+		if w.callers[n.caller], err = newProxy(n.caller); err != nil {
+			return err
+		}
+		s := conf.Settings{
+			Name: n.name, FailureDomain: n.domain, Region: "tw", CallerAddress: n.caller,
+			PeerAddress: netip.AddrPortFrom(ip(i), base), OpsAddress: netip.AddrPortFrom(ip(i), base+2),
+			DirectoryAddress: n.directory, Platform: "http://" + p.address().String(),
+			FleetKeys: []string{strings.Repeat("5a", 32)}, Seeds: seeds, FirstStart: true,
+			Bounds: conf.Bounds{
+				RetryRatio: 0.2, RetrySlack: 60, RetryWindow: wire.Duration(10 * time.Second), ColdOvershoot: 1.5, ColdSlack: 20,
+				ApplyTime: wire.Duration(applyTime), StopTime: wire.Duration(stopTime),
+			},
+		}
+		if err := w.startNode(n, &s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *world) startNode(n *process, s *conf.Settings) error {
+	b, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "soak: settings")
+	}
+	n.settings = filepath.Join(w.dir, n.name+".json")
+	if err := os.WriteFile(n.settings, b, 0o600); err != nil {
+		return errors.Wrap(err, "soak: settings")
+	}
+	if n.log, err = os.Create(filepath.Join(w.dir, n.name+".log")); err != nil {
+		return errors.Wrap(err, "soak: log of a node")
+	}
+	w.nodes = append(w.nodes, n)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.start()
+}
+
+func (w *world) close() {
+	for _, n := range w.nodes {
+		n.close()
+	}
+	for _, p := range w.callers {
+		p.close()
+	}
+	for _, p := range w.platforms {
+		p.close()
+	}
+	for _, b := range w.backends {
+		if b.proxy != nil {
+			b.proxy.close()
+		}
+		b.server.Close()
+	}
+	if w.platform != nil {
+		w.platform.Close()
+	}
+	if w.web != nil {
+		_ = w.web.Close()
+	}
+}
