Read a platform whose answers take longer than the first wait

A running fleet had lost its readers too. The wait doubles with each failure in a row, up to 4 s. Ruled out: a longer first wait, with which a silent connection is found late. Test: TestSlowPlatformIsRead (no configuration within 20 s before).

--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -37,12 +37,26 @@
 	away atomic.Bool
 	// reads counts the reads that succeeded.
 	reads atomic.Int64
+	// delay is how long each answer takes, in nanoseconds.
+	delay atomic.Int64
+}
+
+func (s *turnedAway) hold(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Duration(s.delay.Load())):
+		return nil
+	}
 }
 
 func (s *turnedAway) Load(ctx context.Context, stale bool) (feed.Delta, error) {
 	if s.away.Load() {
 		return feed.Delta{}, stand.ErrPlatformDown
 	}
+	if err := s.hold(ctx); err != nil {
+		return feed.Delta{}, err
+	}
 	return s.Published.Load(ctx, stale)
 }
 
@@ -50,6 +64,9 @@
 	if s.away.Load() {
 		return feed.Delta{}, stand.ErrPlatformDown
 	}
+	if err := s.hold(ctx); err != nil {
+		return feed.Delta{}, err
+	}
 	d, err := s.Published.Watch(ctx, after, wait)
 	if s.away.Load() {
 		return feed.Delta{}, stand.ErrPlatformDown
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -91,6 +91,18 @@
 	is.True(members[1].fed(feed.Delta{Full: true}) != nil) // a peer that has nothing
 }
 
+// Guards against nodes that serve nothing because each answer of the platform takes longer than they wait at
+// first, and against changes that then never arrive. Found by soak, seed 100.
+func TestSlowPlatformIsRead(t *testing.T) {
+	t.Parallel()
+	published, members := newFleet(t, 86, "lukang")
+	members[0].source.delay.Store(int64(readGrace + 200*time.Millisecond))
+	published.SetConfig(config("a"))
+	until(t, "the configuration is in force", settle, func() bool { return has(members[0], "a") })
+	published.SetConfig(config("b"))
+	until(t, "the next one is in force", settle, func() bool { return has(members[0], "b") })
+}
+
 // Guards against servers that are dropped because their entries ran out while the platform was away,
 // and against those that are kept although they are gone.
 func TestEntriesThatLapse(t *testing.T) {
--- a/node/read.go
+++ b/node/read.go
@@ -11,8 +11,12 @@
 	"github.com/arbutusthread/arbutusthread/feed"
 )
 
-// readGrace is how long an answer of the platform may take beyond the wait.
-const readGrace = 700 * time.Millisecond
+const (
+	// readGrace is how long an answer of the platform may take beyond the wait. It doubles with each failure,
+	// up to maxReadGrace, so that a platform that has become slow is read all the same.
+	readGrace    = 700 * time.Millisecond
+	maxReadGrace = 4 * time.Second
+)
 
 // read reads the platform whenever it is this node's turn.
 func (n *Node) read(ctx context.Context) {
@@ -42,7 +46,10 @@
 }
 
 func (n *Node) readOnce(ctx context.Context, p feed.Plan) {
-	ctx, cancel := context.WithTimeout(ctx, p.Wait+readGrace)
+	n.feedMu.Lock()
+	failures := n.reader.Failures()
+	n.feedMu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, p.Wait+min(maxReadGrace, readGrace<<min(failures, 10)))
 	defer cancel()
 	var d feed.Delta
 	var err error
@@ -58,7 +65,6 @@
 		return
 	}
 	n.feedMu.Lock()
-	failures := n.reader.Failures()
 	n.reader.Succeed(now, &d)
 	n.feedMu.Unlock()
 	if p.Step == feed.Load {
