Refuse requests for 5 s only when they crashed servers at one moment

Cause: when servers of many shards crash together, requests that were at two of them are taken for the cause and refused for 10 minutes at all nodes unless one of their other parts succeeds later. A request that crashed servers within 2 s is refused for 5 s. It is refused for 10 minutes when it crashes servers at another moment, also the same ones. Ruled out: counting the requests that a server ran; a query alone in flight looks the same in both cases. Cost: a single request that does crash servers may reach 4 of them instead of 2 before it is refused for long.

--- a/guard/blame.go
+++ b/guard/blame.go
@@ -12,8 +12,14 @@
 	blameTime = 3 * time.Second
 	// crashesToRefuse is the number of servers that a request may crash before it is refused.
 	crashesToRefuse = 2
-	// refuseTime is how long a crash is remembered.
-	refuseTime = 10 * time.Minute
+	// refuseTime is how long a crash is remembered, and a request refused that has crashed servers at two
+	// moments. After one moment it is refused for firstRefuse, as many servers may have crashed together
+	// for another reason; the time is above that in which nodes tell each other of crashes.
+	refuseTime  = 10 * time.Minute
+	firstRefuse = 5 * time.Second
+	// momentTime is the longest time from the first crash of a moment to its last: a request is sent to
+	// other servers again as long as its caller waits.
+	momentTime = 2 * time.Second
 	// maxBlamed bounds the requests that are remembered, and maxBroken the broken connections.
 	maxBlamed = 10_000
 	maxBroken = 10_000
@@ -77,7 +83,11 @@
 		return false
 	}
 	list := b.blamed[n.Fingerprint]
-	if slices.ContainsFunc(list, func(c Crash) bool { return c.Server == n.Crash.Server }) {
+	again := slices.ContainsFunc(list, func(c Crash) bool {
+		// Once the request has been refused, a server that it crashes again is at another moment.
+		return c.Server == n.Crash.Server && (len(list) < crashesToRefuse || n.Crash.At.Sub(c.At) <= momentTime)
+	})
+	if again {
 		return false
 	}
 	if list == nil && len(b.blamed) >= maxBlamed {
@@ -95,19 +105,36 @@
 	}
 }
 
-// Refuses reports whether the request has crashed too many servers to be run again.
-func (b *Blame) Refuses(now time.Time, f Fingerprint) bool {
+// Refuses returns how long the request is not to be run again because it has crashed servers, 0 when it
+// may run.
+func (b *Blame) Refuses(now time.Time, f Fingerprint) time.Duration {
 	list := b.blamed[f]
 	if list == nil {
-		return false
+		return 0
 	}
 	list = slices.DeleteFunc(list, func(c Crash) bool { return now.Sub(c.At) > refuseTime })
 	if len(list) == 0 {
 		delete(b.blamed, f)
-		return false
+		return 0
 	}
 	b.blamed[f] = list
-	return len(list) >= crashesToRefuse
+	if len(list) < crashesToRefuse {
+		return 0
+	}
+	first, last := list[0].At, list[0].At
+	for _, c := range list {
+		if c.At.Before(first) {
+			first = c.At
+		}
+		if c.At.After(last) {
+			last = c.At
+		}
+	}
+	end := last.Add(firstRefuse)
+	if last.Sub(first) > momentTime {
+		end = last.Add(refuseTime)
+	}
+	return max(0, end.Sub(now))
 }
 
 // Expire forgets what is long past. It may be called at any interval.
--- a/node/blame.go
+++ b/node/blame.go
@@ -101,10 +101,11 @@
 // refuses reports whether a request has crashed too many servers, and ends it if so. The caller holds
 // n.mu.
 func (n *Node) refuses(now time.Time, c *call) (gather.Finished, bool) {
-	if !n.blame.Refuses(now, c.print) {
+	wait := n.blame.Refuses(now, c.print)
+	if wait == 0 {
 		return gather.Finished{}, false
 	}
 	return gather.Finished{
-		End: gather.Refused, Total: len(c.job.Pools), RetryAfter: noteTime, Reason: "requests like this have crashed servers",
+		End: gather.Refused, Total: len(c.job.Pools), RetryAfter: wait, Reason: "requests like this have crashed servers",
 	}, true
 }
