Let requests wait at the node instead of at servers that get slow

Cause: with all nodes together a server held up to 14 requests for 2 slots, so that under 4 times the load nearly all answers came after their target, and what waited at the server could not be left out any more. A node sends a server that takes 1.5 times as long as usual only as many requests as it runs at once, and from 4 times on half as many. Waiting requests that are in time go newest first, so that some of them are.

--- a/gather/choose.go
+++ b/gather/choose.go
@@ -1,6 +1,9 @@
 package gather
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// declineScore is the score from which on a relay leaves a shard to the node that asked, which
@@ -19,10 +22,10 @@
 	// failureCost when it cannot, so that its caller gets no answer.
 	retryCost   = 3.0
 	failureCost = 40.0
-	// queueSlowness is the slowness from which on a node sends a server only half as many requests as
-	// it runs at once. What waits at the nodes can still be sent elsewhere or left out, and what waits at
-	// the server cannot.
-	queueSlowness = 4.0
+	// fullSlowness is the slowness from which on a node sends a server only as many requests as it runs at
+	// once, and halfSlowness that from which on half as many.
+	fullSlowness = 1.5
+	halfSlowness = 4.0
 )
 
 // choose returns the server for the next attempt of a task, or nil when none can take it now. A nil
@@ -72,7 +75,7 @@
 	if now.Before(s.fullUntil) {
 		return false
 	}
-	if len(s.open) >= max(1, s.Slots/2) && s.slownessNow(now) > queueSlowness {
+	if len(s.open) >= s.queueLimit(now) {
 		return false
 	}
 	if s.ColdRate > 0 && s.cold(now) {
@@ -81,6 +84,21 @@
 	return true
 }
 
+// queueLimit returns how many requests the node may have at the server at once. The longer they take, the
+// fewer: what waits at the node can still be sent elsewhere or left out, and what waits at the server
+// cannot.
+func (s *server) queueLimit(now time.Time) int {
+	v := s.slownessNow(now)
+	switch {
+	case s.Slots <= 0 || v <= fullSlowness:
+		return math.MaxInt
+	case v <= halfSlowness:
+		return s.Slots
+	default:
+		return max(1, s.Slots/2)
+	}
+}
+
 // score ranks a server for a request, the best one with the least score.
 func (e *Engine) score(now time.Time, j *job, s *server) float64 {
 	v := e.slowness(now, j, s)
--- a/gather/wait.go
+++ b/gather/wait.go
@@ -92,12 +92,10 @@
 		if s == nil {
 			continue
 		}
-		if u := e.useOf(now, t, s); u < least {
+		u := e.useOf(now, t, s)
+		if u < least || u == inTime && t.job.Priority == p.waiting[best].job.Priority {
 			best, least, to = i, u, s
 		}
-		if least == inTime {
-			break
-		}
 	}
 	return best, to
 }
