Count members together, and keep answers of the directory until something changes

Each change of a member and of a server entry sorted and hashed all members, and so did each question to the directory. Changes of members within 50 ms are counted together, the number of nodes that share servers is kept until members or routes change, and answers of the directory until anything does.

--- a/node/install.go
+++ b/node/install.go
@@ -83,18 +83,32 @@
 	n.splitter.Keep(t)
 	n.servers.Store(domainsOf(pools))
 	n.table.Store(t)
+	n.answers.clear()
 }
 
-// pools returns the servers by service. A service that no configuration names yet is kept, so that
-// its servers are known when one does.
-func (n *Node) pools(t *table.Table, v *feed.View) ([]gather.Pool, []back.Server) {
+// sharers is the number of nodes that share the connections of servers, with the routes for which it was
+// counted. Counting takes longer than all else in a change of one server.
+type sharers struct {
+	table *table.Table
+	count int
+}
+
+func (n *Node) countSharers(t *table.Table) sharers {
 	members := n.peer.Members()
 	nodes, self := n.serving(t, members)
 	if !self {
 		// Callers that kept the address of this node must not take connections from the others.
 		nodes = len(members)
 	}
-	nodes = max(nodes, len(n.settings.Load().Seeds), 1)
+	return sharers{t, max(nodes, len(n.settings.Load().Seeds), 1)}
+}
+
+// pools returns the servers by service. A service that no configuration names yet is kept, so that
+// its servers are known when one does.
+func (n *Node) pools(t *table.Table, v *feed.View) ([]gather.Pool, []back.Server) {
+	if n.sharers.table != t {
+		n.sharers = n.countSharers(t)
+	}
 	byName := make(map[string]int)
 	var pools []gather.Pool
 	for name := range servicesOf(t, v) {
@@ -109,7 +123,7 @@
 			Draining: s.Draining || v.Out[s.FailureDomain], ColdUntil: s.ColdUntil, Born: s.Born,
 		}
 		if service != nil {
-			x.Connections = share(service.Connections, nodes)
+			x.Connections = share(service.Connections, n.sharers.count)
 			x.ColdRate = n.coldRate(service)
 		}
 		p := &pools[byName[s.Service]]
--- a/node/node.go
+++ b/node/node.go
@@ -63,6 +63,12 @@
 	feed   *feed.State
 	reader *feed.Reader
 	expiry *time.Timer
+	// sharers are the nodes that share the servers.
+	sharers sharers
+	// answers are those that the directory has given since the last change.
+	answers answers
+	// counting means that a count of the nodes is due.
+	counting atomic.Bool
 
 	mu       sync.Mutex
 	engine   *gather.Engine
@@ -136,7 +142,7 @@
 	n.mu.Lock()
 	n.engine.SetBudget(budgetOf(&next))
 	n.mu.Unlock()
-	n.install(time.Now())
+	n.countNodes()
 }
 
 // heartbeat is the time between two heartbeats to a node. A dead node is known after four of them,
@@ -206,12 +212,22 @@
 	switch e.Kind {
 	case fleet.MemberUp, fleet.MemberLeaving, fleet.MemberDown:
 		n.log.Info("member changed", "Event", e.Kind, "Peer", e.Member.Address, "FailureDomain", e.Member.FailureDomain)
-		n.countNodes()
+		n.answers.clear()
+		if n.counting.CompareAndSwap(false, true) {
+			time.AfterFunc(countDelay, func() {
+				n.counting.Store(false)
+				n.countNodes()
+			})
+		}
 	case fleet.NoteReceived:
 		n.noted(e.Note)
 	}
 }
 
+// countDelay lets changes of members that come together, as at the start of a fleet, take effect together:
+// counting costs time in proportion to the members.
+const countDelay = 50 * time.Millisecond
+
 // countNodes tells the engine how many nodes share the servers. Nodes that went down lately count,
 // since they may live behind a partition.
 func (n *Node) countNodes() {
@@ -220,6 +236,9 @@
 	n.engine.SetNodes(len(members))
 	n.engine.SetRelays(n.relaysOf(members))
 	n.mu.Unlock()
+	n.feedMu.Lock()
+	n.sharers.table = nil
+	n.feedMu.Unlock()
 	n.install(time.Now())
 }
 
--- a/node/place.go
+++ b/node/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/arbutusthread/arbutusthread/fleet"
@@ -19,8 +20,56 @@
 	if t == nil {
 		return nil, 0
 	}
-	caller := place.Caller{FailureDomain: domain, Region: region}
-	return place.Choose(host, t.Host(host), *n.servers.Load(), caller, nodesOf(n.peer.Members())), keepFor
+	k := question{host, place.Caller{FailureDomain: domain, Region: region}}
+	list, changes, ok := n.answers.get(k)
+	if !ok {
+		list = place.Choose(host, t.Host(host), *n.servers.Load(), k.caller, nodesOf(n.peer.Members()))
+		n.answers.put(k, list, changes)
+	}
+	return list, keepFor
+}
+
+// question is what a caller asks the directory.
+type question struct {
+	host   string
+	caller place.Caller
+}
+
+// maxAnswers bounds the answers that are kept. Callers may ask for any host.
+const maxAnswers = 1000
+
+// answers keeps the answers to callers until members, routes or servers change, since choosing takes time
+// in proportion to the members. It is safe for concurrent use.
+type answers struct {
+	mu   sync.Mutex
+	list map[question][]netip.AddrPort
+	// changes counts the calls of clear, so that an answer from before a change is not kept after it.
+	changes int
+}
+
+func (a *answers) get(k question) (list []netip.AddrPort, changes int, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	list, ok = a.list[k]
+	return list, a.changes, ok
+}
+
+func (a *answers) put(k question, list []netip.AddrPort, changes int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.changes == changes && len(a.list) < maxAnswers {
+		if a.list == nil {
+			a.list = make(map[question][]netip.AddrPort)
+		}
+		a.list[k] = list
+	}
+}
+
+func (a *answers) clear() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.list = nil
+	a.changes++
 }
 
 // nodesOf returns the nodes that take callers.
