Split files that have grown, and keep one copy of shared functions

Six copies of a sleep that a context ends are clock.Sleep, three of a default are cmp.Or, and trial and drill share vtime.RunSeeds.

--- a/call/client.go
+++ b/call/client.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/arbutusthread/arbutusthread/clock"
 	"github.com/arbutusthread/arbutusthread/route"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
@@ -205,14 +206,7 @@
 	if end, ok := ctx.Deadline(); ok && time.Until(end) <= d {
 		return false
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, d)
 }
 
 func (c *Client) newRequestID() string {
--- a/drill/result.go
+++ b/drill/result.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"runtime"
 	"slices"
 	"time"
 
 	hdr "github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/vtime"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
 
@@ -229,26 +228,9 @@
 // RunSeeds runs each policy of the case with the seeds 1 to n on half of the cores, and pools the
 // results of each policy. All policies get the same seeds.
 func RunSeeds(ctx context.Context, c Case, n int) ([]*Result, error) {
-	if n < 1 {
-		return nil, errors.Newf("drill: run case %s: number of seeds must be at least 1, not %d", c.Name, n)
-	}
 	policies := Policies()
-	all := make([][]*Result, len(policies))
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(max(1, runtime.GOMAXPROCS(0)/2))
-	for i, p := range policies {
-		all[i] = make([]*Result, n)
-		for k := range n {
-			group.Go(func() error {
-				if err := ctx.Err(); err != nil {
-					return err
-				}
-				all[i][k] = Run(c, p, uint64(k+1))
-				return nil
-			})
-		}
-	}
-	if err := group.Wait(); err != nil {
+	all, err := vtime.RunSeeds(ctx, len(policies), n, func(policy int, seed uint64) *Result { return Run(c, policies[policy], seed) })
+	if err != nil {
 		return nil, errors.Wrapf(err, "drill: run case %s", c.Name)
 	}
 	pooled := make([]*Result, len(policies))
--- a/front/run.go
+++ b/front/run.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/clock"
+
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 )
@@ -96,9 +98,9 @@
 	}
 	r.Log.Info("node stops", "StopTime", stopTime)
 	r.Leave()
-	sleep(ctx, after(drainShare))
+	clock.Sleep(ctx, after(drainShare))
 	r.Server.Drain()
-	sleep(ctx, after(closeShare))
+	clock.Sleep(ctx, after(closeShare))
 	_ = callers.Close()
 	ctx, cancel := context.WithTimeout(ctx, after(endShare))
 	defer cancel()
@@ -109,15 +111,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func serveSide(ctx context.Context, l net.Listener, h http.Handler) error {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: sideTimeout, WriteTimeout: sideTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
--- a/node.go
+++ b/node.go
@@ -32,9 +32,9 @@
 		Usage:     "arbutusthread node --config FILE",
 		ShortHelp: "run one node that serves routes",
 		LongHelp: `Serves requests on the routes of the configuration, on the project's own platform or on a
-metadata store (PlatformForm in the settings). Logs JSON lines to the standard output. SIGTERM and SIGINT stop the node in a planned
-way. SIGHUP reads the settings again, and so does a change of the file. Exits with 4 if the
-settings have faults, and with 1 if a socket fails.
+metadata store (PlatformForm in the settings). Logs JSON lines to the standard output. SIGTERM and
+SIGINT stop the node in a planned way. SIGHUP reads the settings again, and so does a change of the
+file. Exits with 4 if the settings have faults, and with 1 if a socket fails.
 
 Example:
   arbutusthread node --config sample/route-1.json`,
--- a/node/read.go
+++ b/node/read.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/arbutusthread/arbutusthread/clock"
 	"github.com/arbutusthread/arbutusthread/feed"
 )
 
@@ -28,7 +29,7 @@
 		n.feedMu.Unlock()
 		if p.Step == feed.Idle {
 			reading = reading && in.Rank == 0
-			sleep(ctx, p.Wait)
+			clock.Sleep(ctx, p.Wait)
 			continue
 		}
 		if !reading {
@@ -114,12 +115,3 @@
 		n.log.Warn("platform cannot be read", "Error", err, "Revision", n.revision())
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/plat/client.go
+++ b/plat/client.go
@@ -10,6 +10,7 @@
 package plat
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -105,20 +106,13 @@
 	if c.HTTP == nil {
 		c.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute}}
 	}
-	c.Wait = orDefault(c.Wait, defaultWait)
-	c.Grace = orDefault(c.Grace, defaultGrace)
-	c.BackoffMin = orDefault(c.BackoffMin, defaultBackoffMin)
-	c.BackoffMax = orDefault(c.BackoffMax, defaultBackoffMax)
+	c.Wait = cmp.Or(c.Wait, defaultWait)
+	c.Grace = cmp.Or(c.Grace, defaultGrace)
+	c.BackoffMin = cmp.Or(c.BackoffMin, defaultBackoffMin)
+	c.BackoffMax = cmp.Or(c.BackoffMax, defaultBackoffMax)
 	return &Client{config: c, base: u, random: rand.New(rand.NewPCG(c.Seed, 0))}, nil
 }
 
-func orDefault(d, otherwise time.Duration) time.Duration {
-	if d == 0 {
-		return otherwise
-	}
-	return d
-}
-
 // Watch waits until the platform has a document above the version after, and returns its bytes.
 // It goes on through failures, with backoff, until ctx ends; the error then has the last failure
 // as well. The document is checked for its version only. When a watch repeats the version of the
--- a/serve/orders.go
+++ b/serve/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/arbutusthread/arbutusthread/clock"
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/order"
 	"github.com/arbutusthread/arbutusthread/query"
@@ -168,7 +169,7 @@
 				return
 			}
 			a = next
-			sleep(ctx, homeRetry*time.Duration(try))
+			clock.Sleep(ctx, homeRetry*time.Duration(try))
 			continue
 		}
 		o.mu.Unlock()
--- a/serve/planner.go
+++ b/serve/planner.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/clock"
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/guard"
@@ -151,7 +152,7 @@
 		if f == nil || !movesHome(f) || !time.Now().Add(homeRetry).Before(latest) {
 			return partial, f
 		}
-		sleep(ctx, homeRetry)
+		clock.Sleep(ctx, homeRetry)
 	}
 }
 
--- a/serve/stop.go
+++ b/serve/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/arbutusthread/arbutusthread/clock"
 )
 
 // stopLimit bounds the wait for work in flight and for the hand-over of leases in a planned stop.
@@ -21,12 +23,12 @@
 	n.orders.stop()
 	left := time.Now()
 	for ctx.Err() == nil && time.Since(left) < stopLimit && !n.idle() {
-		sleep(ctx, checkInterval)
+		clock.Sleep(ctx, checkInterval)
 	}
 	// Callers may use the address for KeepFor after the last answer that named it.
-	sleep(ctx, n.settings.KeepFor.Std()-time.Since(left))
+	clock.Sleep(ctx, n.settings.KeepFor.Std()-time.Since(left))
 	for ctx.Err() == nil && time.Since(left) < stopLimit && n.orders.running() > 0 {
-		sleep(ctx, checkInterval)
+		clock.Sleep(ctx, checkInterval)
 	}
 	// Shutdown waits for the requests in flight of callers.
 	ctx, cancel := context.WithTimeout(ctx, stopLimit)
--- a/serve/traffic_test.go
+++ b/serve/traffic_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/arbutusthread/arbutusthread/call"
+	"github.com/arbutusthread/arbutusthread/clock"
 	"github.com/arbutusthread/arbutusthread/stand"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
@@ -107,7 +108,7 @@
 func (v *traffic) repeat(ctx context.Context, gap time.Duration, once func(int)) {
 	for n := 0; ctx.Err() == nil; n++ {
 		once(n)
-		sleep(ctx, gap)
+		clock.Sleep(ctx, gap)
 	}
 }
 
--- a/serve/watch.go
+++ b/serve/watch.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/arbutusthread/arbutusthread/clock"
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/guard"
 	"github.com/arbutusthread/arbutusthread/wire"
@@ -39,7 +40,7 @@
 func (n *Node) watchConfig(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !n.reads() || !n.Ready() && !n.peer.Settled() {
-			sleep(ctx, checkInterval)
+			clock.Sleep(ctx, checkInterval)
 			continue
 		}
 		n.watchOnce(ctx)
@@ -70,7 +71,7 @@
 		if n.reads() {
 			n.readVMs(ctx)
 		}
-		sleep(ctx, readerInterval)
+		clock.Sleep(ctx, readerInterval)
 	}
 }
 
@@ -153,15 +154,6 @@
 	return raw
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // leaving holds backend servers that the platform lists as leaving.
 type leaving struct {
 	mu        sync.Mutex
--- a/soak/run.go
+++ b/soak/run.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/arbutusthread/arbutusthread/clock"
 	"github.com/arbutusthread/arbutusthread/conf"
 )
 
@@ -50,8 +52,8 @@
 // Run runs a fleet under faults and checks the promises. Its error says that the run itself failed, not that
 // a promise was broken. All processes that it has started have ended when it returns.
 func Run(ctx context.Context, c Config) (*Report, error) {
-	c.Nodes, c.Callers = orDefault(c.Nodes, 6), orDefault(c.Callers, 12)
-	c.FaultTime = orDefault(c.FaultTime, 20*time.Second)
+	c.Nodes, c.Callers = cmp.Or(c.Nodes, 6), cmp.Or(c.Callers, 12)
+	c.FaultTime = cmp.Or(c.FaultTime, 20*time.Second)
 	dir, err := os.MkdirTemp(c.Dir, "soak-")
 	if err != nil {
 		return nil, errors.Wrap(err, "soak: folder of the run")
@@ -77,7 +79,7 @@
 	during, end := context.WithTimeout(ctx, c.FaultTime)
 	errs := f.run(during, rand.New(rand.NewPCG(c.Seed, 1)))
 	end()
-	sleep(ctx, settleTime)
+	clock.Sleep(ctx, settleTime)
 	stop()
 	work.Wait()
 	if err := errors.Join(append(errs, ctx.Err())...); err != nil {
@@ -91,21 +93,6 @@
 	return r, errors.Wrap(os.RemoveAll(dir), "soak: remove folder")
 }
 
-func orDefault[T comparable](v, other T) T {
-	var zero T
-	if v == zero {
-		return other
-	}
-	return v
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // awaitAnswer waits until the fleet serves, with a first marker route in force.
 func (w *world) awaitAnswer(ctx context.Context) error {
 	f := &faults{world: w}
@@ -114,7 +101,7 @@
 	}
 	c := newCaller(w, w.config.Callers)
 	defer c.client.CloseIdleConnections()
-	for end := time.Now().Add(startTime); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, 50*time.Millisecond) {
+	for end := time.Now().Add(startTime); time.Now().Before(end) && ctx.Err() == nil; clock.Sleep(ctx, 50*time.Millisecond) {
 		n := c.choose(ctx, searchHost)
 		if n == nil {
 			continue
--- a/stand/faults.go
+++ b/stand/faults.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -60,10 +61,10 @@
 }
 
 func (l Latency) withDefaults() Latency {
-	l.Median = orDefault(l.Median, 2*time.Millisecond)
-	l.Sigma = max(0, orDefault(l.Sigma, 0.3))
-	l.StragglerShare = max(0, orDefault(l.StragglerShare, 0.01))
-	l.StragglerFactor = orDefault(l.StragglerFactor, 10)
+	l.Median = cmp.Or(l.Median, 2*time.Millisecond)
+	l.Sigma = max(0, cmp.Or(l.Sigma, 0.3))
+	l.StragglerShare = max(0, cmp.Or(l.StragglerShare, 0.01))
+	l.StragglerFactor = cmp.Or(l.StragglerFactor, 10)
 	return l
 }
 
--- a/stand/fleet.go
+++ b/stand/fleet.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -183,7 +184,7 @@
 		for _, x := range v.Indexes {
 			for _, s := range x.Shards {
 				for k := range s.Servers {
-					s.Servers[k] = orDefault(moved[s.Servers[k]], s.Servers[k])
+					s.Servers[k] = cmp.Or(moved[s.Servers[k]], s.Servers[k])
 				}
 			}
 		}
--- a/stand/http.go
+++ b/stand/http.go
@@ -1,10 +1,8 @@
 package stand
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 )
 
 // maxBody is the size of the largest request body in bytes.
@@ -23,18 +21,3 @@
 	}
 	return true
 }
-
-// sleep waits for d and returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/stand/job.go
+++ b/stand/job.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/clock"
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
 )
@@ -240,7 +241,7 @@
 	if j.drawn.hang {
 		<-ctx.Done()
 	}
-	ok := sleep(ctx, d)
+	ok := clock.Sleep(ctx, d)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
--- a/stand/layout.go
+++ b/stand/layout.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -44,16 +45,16 @@
 	if len(l.Domains) == 0 {
 		l.Domains = []string{"Lukang", "Yilan", "Chiayi"}
 	}
-	l.Services = orDefault(l.Services, 1)
-	l.Shards = orDefault(l.Shards, 4)
-	l.Replicas = orDefault(l.Replicas, 2)
-	l.Servers = max(orDefault(l.Servers, max(l.Replicas, len(l.Domains))), l.Replicas)
-	l.Slots = orDefault(l.Slots, 2)
-	l.ColdSlots = orDefault(l.ColdSlots, 1)
-	l.Connections = orDefault(l.Connections, 25)
-	l.Slices = orDefault(l.Slices, 1)
-	l.HomeSeats = orDefault(l.HomeSeats, conf.DefaultHomeSeats)
-	l.MaxTimeout = orDefault(l.MaxTimeout, time.Second)
+	l.Services = cmp.Or(l.Services, 1)
+	l.Shards = cmp.Or(l.Shards, 4)
+	l.Replicas = cmp.Or(l.Replicas, 2)
+	l.Servers = max(cmp.Or(l.Servers, max(l.Replicas, len(l.Domains))), l.Replicas)
+	l.Slots = cmp.Or(l.Slots, 2)
+	l.ColdSlots = cmp.Or(l.ColdSlots, 1)
+	l.Connections = cmp.Or(l.Connections, 25)
+	l.Slices = cmp.Or(l.Slices, 1)
+	l.HomeSeats = cmp.Or(l.HomeSeats, conf.DefaultHomeSeats)
+	l.MaxTimeout = cmp.Or(l.MaxTimeout, time.Second)
 	return l
 }
 
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/clock"
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
@@ -221,7 +222,7 @@
 			return
 		}
 		f := p.Faults()
-		if !sleep(r.Context(), f.Slow.Std()) {
+		if !clock.Sleep(r.Context(), f.Slow.Std()) {
 			return
 		}
 		if f.Down {
--- a/stand/routed.go
+++ b/stand/routed.go
@@ -2,16 +2,13 @@
 
 import (
 	"bufio"
-	"bytes"
+	"cmp"
 	"context"
-	"encoding/binary"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -93,10 +90,10 @@
 
 // NewRoutedServer listens on the address, with port 0 on a free port.
 func NewRoutedServer(address netip.AddrPort, c RoutedConfig) (*RoutedServer, error) {
-	c.Slots = orDefault(c.Slots, 2)
-	c.Queue = orDefault(c.Queue, c.Slots)
-	c.Connections = orDefault(c.Connections, 25)
-	c.Records = orDefault(c.Records, 8)
+	c.Slots = cmp.Or(c.Slots, 2)
+	c.Queue = cmp.Or(c.Queue, c.Slots)
+	c.Connections = cmp.Or(c.Connections, 25)
+	c.Records = cmp.Or(c.Records, 8)
 	if c.Headers == (wire.Headers{}) {
 		c.Headers = wire.DefaultHeaders()
 	}
@@ -251,186 +248,3 @@
 	defer s.mu.Unlock()
 	return s.faults.Early
 }
-
-// draws are the faults of one request.
-type draws struct {
-	RoutedFaults
-	hang, cut, lose, extra, unframed, encoded, fail bool
-}
-
-func (s *RoutedServer) draw() draws {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f := s.faults
-	hit := func(share float64) bool { return s.rand.Float64() < share }
-	return draws{
-		RoutedFaults: f, hang: hit(f.Hang), cut: hit(f.Break), lose: hit(f.Lose), extra: hit(f.Extra),
-		unframed: hit(f.Unframed), encoded: hit(f.Encoded), fail: hit(f.Fail),
-	}
-}
-
-// answer serves one request and reports whether the connection stays open.
-func (s *RoutedServer) answer(c net.Conn, in *bufio.Reader, r *http.Request, body []byte) bool {
-	names := &s.config.Headers
-	h := http.Header{}
-	h.Set(names.RequestID, r.Header.Get(names.RequestID))
-	s.mu.Lock()
-	id := s.id
-	s.mu.Unlock()
-	h.Set(names.Instance, id)
-	if target := r.Header.Get(names.Target); target != "" && target != id {
-		return s.write(c, r, http.StatusMisdirectedRequest, h, nil)
-	}
-	if !s.enter() {
-		h.Set(names.NotRun, "1")
-		return s.write(c, r, http.StatusServiceUnavailable, h, nil)
-	}
-	defer func() { <-s.slots }()
-	run := s.begin(r, body)
-	d := s.draw()
-	if d.CrashURI != "" && r.RequestURI == d.CrashURI {
-		s.crash()
-		return false
-	}
-	if !s.spend(c, in, run, d) || d.lose || d.hang {
-		reset(c)
-		return false
-	}
-	if d.Cold > 0 {
-		h.Set(names.ColdFor, strconv.FormatInt(d.Cold.Milliseconds(), 10))
-	}
-	if d.fail {
-		return s.write(c, r, http.StatusInternalServerError, h, nil)
-	}
-	return s.succeed(c, r, h, d)
-}
-
-// enter takes a slot, or a place in the queue until one is free.
-func (s *RoutedServer) enter() bool {
-	select {
-	case s.slots <- struct{}{}:
-		return true
-	default:
-	}
-	s.mu.Lock()
-	if s.waiting >= s.config.Queue {
-		s.shed++
-		s.mu.Unlock()
-		return false
-	}
-	s.waiting++
-	s.mu.Unlock()
-	s.slots <- struct{}{}
-	s.mu.Lock()
-	s.waiting--
-	s.mu.Unlock()
-	return true
-}
-
-func (s *RoutedServer) begin(r *http.Request, body []byte) *RoutedRun {
-	names := &s.config.Headers
-	left, _ := strconv.Atoi(r.Header.Get(names.Timeout))
-	run := &RoutedRun{
-		At: time.Now(), RequestID: r.Header.Get(names.RequestID), Method: r.Method, URI: r.RequestURI,
-		Body: string(body), Left: time.Duration(left) * time.Millisecond,
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runs = append(s.runs, run)
-	return run
-}
-
-// spend takes the time of a request. It reports false when the sender has closed the connection.
-func (s *RoutedServer) spend(c net.Conn, in *bufio.Reader, run *RoutedRun, d draws) bool {
-	wait := s.config.Delay + d.Slow
-	if d.hang {
-		wait = time.Minute
-	}
-	if wait <= 0 {
-		return true
-	}
-	_ = c.SetReadDeadline(time.Now().Add(wait))
-	_, err := in.Peek(1)
-	_ = c.SetReadDeadline(time.Time{})
-	var n net.Error
-	if err == nil || errors.As(err, &n) && n.Timeout() {
-		return true
-	}
-	s.mu.Lock()
-	run.Canceled = true
-	s.mu.Unlock()
-	return false
-}
-
-// Body returns the records that a server with the ID answers to a request.
-func Body(id, uri string, records int) []byte {
-	seed := rand.NewPCG(uint64(len(uri)), uint64(len(id)))
-	for _, b := range []byte(id + uri) {
-		seed = rand.NewPCG(seed.Uint64()+uint64(b), seed.Uint64())
-	}
-	body := make([]byte, 0, 16*records)
-	for range records {
-		body = binary.BigEndian.AppendUint64(body, seed.Uint64())
-		body = binary.BigEndian.AppendUint64(body, seed.Uint64())
-	}
-	return body
-}
-
-// Seal returns the seal of the answer of a server to a request.
-func Seal(id, requestID string) string { return "seal-" + id + "-" + requestID }
-
-func (s *RoutedServer) succeed(c net.Conn, r *http.Request, h http.Header, d draws) bool {
-	names := &s.config.Headers
-	id := h.Get(names.Instance)
-	body := Body(s.config.ID, r.RequestURI, s.config.Records)
-	h.Set(names.Seal, Seal(id, r.Header.Get(names.RequestID)))
-	if d.encoded {
-		h.Set("Content-Encoding", "gzip")
-	}
-	switch {
-	case d.cut:
-		return s.writeBroken(c, r, h, body)
-	case d.unframed:
-		return s.writeUnframed(c, h, body)
-	}
-	open := s.write(c, r, http.StatusOK, h, body)
-	if d.extra && open {
-		other := h.Clone()
-		other.Set(names.RequestID, "another")
-		return s.write(c, r, http.StatusOK, other, slices.Repeat([]byte{0xff}, len(body)))
-	}
-	return open
-}
-
-func (s *RoutedServer) write(c net.Conn, r *http.Request, status int, h http.Header, body []byte) bool {
-	resp := &http.Response{
-		StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: h, Request: r,
-		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
-	}
-	return resp.Write(c) == nil
-}
-
-// writeBroken ends the answer in the middle of its body.
-func (s *RoutedServer) writeBroken(c net.Conn, r *http.Request, h http.Header, body []byte) bool {
-	var b bytes.Buffer
-	resp := &http.Response{
-		StatusCode: http.StatusOK, ProtoMajor: 1, ProtoMinor: 1, Header: h, Request: r,
-		ContentLength: int64(len(body)), Body: io.NopCloser(bytes.NewReader(body)),
-	}
-	if resp.Write(&b) == nil {
-		_, _ = c.Write(b.Bytes()[:b.Len()-len(body)/2])
-	}
-	return false
-}
-
-// writeUnframed ends the answer with its connection.
-func (s *RoutedServer) writeUnframed(c net.Conn, h http.Header, body []byte) bool {
-	var b bytes.Buffer
-	b.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
-	if h.Write(&b) == nil {
-		b.WriteString("\r\n")
-		b.Write(body)
-		_, _ = c.Write(b.Bytes())
-	}
-	return false
-}
--- a/stand/server.go
+++ b/stand/server.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -71,28 +72,20 @@
 }
 
 func (c ServerConfig) withDefaults() ServerConfig {
-	c.Slots = orDefault(c.Slots, 2)
-	c.ColdSlots = min(orDefault(c.ColdSlots, 1), c.Slots)
-	c.Queue = max(0, orDefault(c.Queue, c.Slots))
-	c.Connections = orDefault(c.Connections, 25)
-	c.WarmAfter = orDefault(c.WarmAfter, DefaultWarmAfter)
-	c.ColdFactor = orDefault(c.ColdFactor, DefaultColdFactor)
-	c.CrashAfter = orDefault(c.CrashAfter, DefaultCrashAfter)
-	c.RestartDelay = orDefault(c.RestartDelay, DefaultRestartDelay)
-	c.Hits = orDefault(c.Hits, DefaultHits)
-	c.RecordLimit = orDefault(c.RecordLimit, defaultRecordLimit)
+	c.Slots = cmp.Or(c.Slots, 2)
+	c.ColdSlots = min(cmp.Or(c.ColdSlots, 1), c.Slots)
+	c.Queue = max(0, cmp.Or(c.Queue, c.Slots))
+	c.Connections = cmp.Or(c.Connections, 25)
+	c.WarmAfter = cmp.Or(c.WarmAfter, DefaultWarmAfter)
+	c.ColdFactor = cmp.Or(c.ColdFactor, DefaultColdFactor)
+	c.CrashAfter = cmp.Or(c.CrashAfter, DefaultCrashAfter)
+	c.RestartDelay = cmp.Or(c.RestartDelay, DefaultRestartDelay)
+	c.Hits = cmp.Or(c.Hits, DefaultHits)
+	c.RecordLimit = cmp.Or(c.RecordLimit, defaultRecordLimit)
 	c.Latency = c.Latency.withDefaults()
 	return c
 }
 
-func orDefault[T comparable](v, d T) T {
-	var zero T
-	if v == zero {
-		return d
-	}
-	return v
-}
-
 // Server is the stand-in of a backend server. It is an http.Handler. The faults of connections
 // (cap, setup delay, silence, duplicates, refused connections after a crash) need Listen.
 type Server struct {
--- a/trial/run.go
+++ b/trial/run.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"runtime"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
+
+	"github.com/arbutusthread/arbutusthread/vtime"
 )
 
 // FindCase returns the case of that name.
@@ -30,25 +30,8 @@
 // RunSeeds runs each policy of the case with the seeds 1 to n on half of the cores, and pools the results
 // of each policy. All policies get the same seeds.
 func RunSeeds(ctx context.Context, c Case, n int) ([]Result, error) {
-	if n < 1 {
-		return nil, errors.Newf("trial: run case %s: number of seeds must be at least 1, not %d", c.Name, n)
-	}
-	all := make([][]Result, len(c.Policies))
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(max(1, runtime.GOMAXPROCS(0)/2))
-	for i, p := range c.Policies {
-		all[i] = make([]Result, n)
-		for k := range n {
-			group.Go(func() error {
-				if err := ctx.Err(); err != nil {
-					return err
-				}
-				all[i][k] = Run(c, p, uint64(k+1))
-				return nil
-			})
-		}
-	}
-	if err := group.Wait(); err != nil {
+	all, err := vtime.RunSeeds(ctx, len(c.Policies), n, func(policy int, seed uint64) Result { return Run(c, c.Policies[policy], seed) })
+	if err != nil {
 		return nil, errors.Wrapf(err, "trial: run case %s", c.Name)
 	}
 	pooled := make([]Result, len(all))
