--- /dev/null
+++ b/gather/bench_test.go
@@ -0,0 +1,37 @@
+package gather
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkQuery is the cost of the decisions for a query over shards with two servers each, all of
+// which answer, without input and output.
+func BenchmarkQuery(b *testing.B) {
+	for _, shards := range []int{20, 140} {
+		b.Run(fmt.Sprint(shards), func(b *testing.B) {
+			e := New(Config{FailureDomain: here, Budget: BudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}})
+			var pools []Pool
+			var names []string
+			for i := range shards {
+				name := fmt.Sprint("s", i)
+				names = append(names, name)
+				pools = append(pools, pair(name))
+			}
+			e.SetPools(epoch, pools)
+			now := epoch
+			for b.Loop() {
+				now = now.Add(3 * time.Millisecond)
+				_, act := e.Submit(now, Request{
+					Class: "r", Pools: names, Idempotent: true, MinCoverage: 0.9, MaxAttempts: 2,
+					Deadline: now.Add(time.Second), Target: now.Add(55 * time.Millisecond),
+				})
+				for _, s := range act.Sends {
+					e.Done(now.Add(2*time.Millisecond), s.Attempt, Result{Class: OK, Latency: 2 * time.Millisecond})
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*shards), "ns/shard")
+		})
+	}
+}
--- a/serve/cold_test.go
+++ b/serve/cold_test.go
@@ -77,6 +77,9 @@
 	load.stop()
 	for _, s := range f.Servers() {
 		for _, c := range s.Record().Cold {
+			if c.Over > 0 {
+				t.Logf("server %s: %+v; home was %s, is %s", s.Address(), c, home.settings.Name, f.home().settings.Name)
+			}
 			is.Equal(c.Over, 0)
 		}
 	}
