--- a/back/forward_test.go
+++ b/back/forward_test.go
@@ -177,6 +177,9 @@
 	f.Once = true
 	for range 20 {
 		_, r := k.Forward(context.Background(), s.Address(), in(time.Second), f)
+		if r.Class != OK {
+			t.Logf("%+v", r)
+		}
 		is.Equal(r.Class, OK)
 		s.ResetConnections()
 		time.Sleep(time.Millisecond)
