--- a/gather/use.go
+++ b/gather/use.go
@@ -25,6 +25,7 @@
 	useless
 )
 
+// useOf returns what sending a waiting task to the server is good for now.
 func (e *Engine) useOf(now time.Time, t *task, s *server) use {
 	j := t.job
 	done := now.Add(e.expect(now, j, s))
--- a/gather/wait.go
+++ b/gather/wait.go
@@ -81,7 +81,9 @@
 }
 
 // next returns the index of the waiting task that is sent first and its server, or no server when no task
-// can be sent now. Among equals it is the one with the highest priority that has waited longest.
+// can be sent now. Of tasks with the same use it is one with the highest priority. Among these the newest
+// goes first when it is in time, so that under overload some are, and otherwise the one that has waited
+// longest.
 func (e *Engine) next(now time.Time, p *pool) (int, *server) {
 	best, least := 0, useless
 	var to *server
