Use a connection opened ahead of a request as one that may be closed

Cause: TestForwardOnce failed once with Unsent in place of OK. A connection that was opened but never used counted as opened for the request that took it from the pool: it was not checked, and a write that the reset failed before any byte was not tried again. Such connections come from Connect, and from a race: a dial stopped counting before its connection was handed out, and a release between the two started a second dial for the same waiter. Ruled out: a request that had reached the server (its runs show none). Conclusion: a connection that was idle in the pool counts as reused.

--- a/back/conn.go
+++ b/back/conn.go
@@ -41,6 +41,9 @@
 	// used is the time of the last use, and served is the number of answers.
 	used   time.Time
 	served int
+	// kept says that the connection has been idle in the pool, where the server may have closed it.
+	kept   bool
+	secure bool
 	// idleLimit is how long the server keeps the connection without use, 0 when it did not say.
 	idleLimit time.Duration
 	// incarnation is that of the server when the connection was taken, empty when unknown.
@@ -71,7 +74,7 @@
 			n.shutdown(c.RetireTimeout)
 			return nil, errors.Wrapf(err, "back: TLS handshake with %s", address)
 		}
-		n.stream = t
+		n.stream, n.secure = t, true
 	}
 	n.reader = bufio.NewReaderSize(bounded{n}, readBuffer)
 	return n, nil
@@ -85,6 +88,9 @@
 	return c
 }
 
+// fresh reports whether the connection was opened for the request that uses it.
+func (c *conn) fresh() bool { return c.served == 0 && !c.kept }
+
 // expired reports whether the connection has been idle for its lifetime.
 func (c *conn) expired(now time.Time, lifetime time.Duration) bool {
 	if c.idleLimit > 0 {
@@ -94,12 +100,12 @@
 }
 
 // ready sets the deadline of a connection and reports whether it can be used. One that was just
-// opened needs no check, which TLS session tickets would fail.
+// opened needs no check. TLS session tickets would fail the check until the first answer is read.
 func (c *conn) ready(deadline time.Time, check bool) bool {
 	if c.raw.SetDeadline(deadline) != nil {
 		return false
 	}
-	check = check && c.served > 0
+	check = check && (c.served > 0 || c.kept && !c.secure)
 	return (!check && time.Since(c.used) < checkAfter) || c.alive()
 }
 
--- a/back/exchange.go
+++ b/back/exchange.go
@@ -130,7 +130,7 @@
 			r.fail(Unsent, "back: the deadline passed or the request was canceled before it was sent")
 			return r
 		}
-		r.Fresh = c.served == 0
+		r.Fresh = c.fresh()
 		again := k.exchange(ctx, p, c, s, &r)
 		if !again {
 			return r
@@ -175,7 +175,7 @@
 	if !sent {
 		p.retire(c)
 		r.fail(Unsent, errors.Wrapf(err, "back: write to %s", p.host).Error())
-		return c.served > 0 && !isTimeout(err)
+		return !r.Fresh && !isTimeout(err)
 	}
 	if e := (*readError)(nil); errors.As(err, &e) && e.silent && isTimeout(err) && canceled(ctx) {
 		r.fail(Canceled, err.Error())
--- a/back/forward.go
+++ b/back/forward.go
@@ -80,7 +80,7 @@
 			r.fail(Unsent, "back: the deadline passed or the request was canceled before it was sent")
 			return nil, r
 		}
-		r.Fresh = c.served == 0
+		r.Fresh = c.fresh()
 		reply, again := k.forward(ctx, p, c, f, deadline, &r)
 		if !again {
 			return reply, r
--- a/back/forward_test.go
+++ b/back/forward_test.go
@@ -191,6 +191,45 @@
 	is.Equal(len(s.Runs()), before+1)
 }
 
+// Guards against a request that fails on a connection that was opened ahead of it and that the server
+// has closed since: nothing was sent, so another connection serves it.
+func TestForwardOnConnectionClosedBeforeUse(t *testing.T) {
+	t.Parallel()
+	for _, once := range []bool{true, false} {
+		t.Run(fmt.Sprint("once=", once), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s, k := routed(t, stand.RoutedConfig{})
+			f := forwarded("r1")
+			f.Once = once
+			is.Equal(k.Connect(context.Background(), s.Address(), in(time.Second)).Class, OK)
+			for s.Opened() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			s.ResetConnections()
+			_, r := k.Forward(context.Background(), s.Address(), in(time.Second), f)
+			is.Equal(r.Class, OK)
+			is.Equal(len(s.Runs()), 1)
+		})
+	}
+}
+
+// Guards against a second connection that is opened for a request that already has one.
+func TestOneDialPerWaiter(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s, k := routed(t, stand.RoutedConfig{})
+	const requests = 2000
+	f := forwarded("r1")
+	f.Once = true
+	for range requests {
+		_, r := k.Forward(context.Background(), s.Address(), in(time.Second), f)
+		is.Equal(r.Class, OK)
+		s.ResetConnections()
+	}
+	is.Equal(s.Opened(), requests)
+}
+
 // Guards against bytes of one request that a server takes for the next: a server may answer before it
 // has read a long body.
 func TestForwardEarlyAnswer(t *testing.T) {
--- a/back/pool.go
+++ b/back/pool.go
@@ -201,9 +201,13 @@
 
 // put gives a connection that may be used again to a waiter or keeps it.
 func (p *pool) put(c *conn) {
-	c.used = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.putLocked(c)
+}
+
+func (p *pool) putLocked(c *conn) {
+	c.used = time.Now()
 	if p.removed || p.open > p.limit {
 		p.retireLocked(c)
 		return
@@ -213,6 +217,7 @@
 		p.grantLocked(grant{conn: c})
 		return
 	}
+	c.kept = true
 	p.idle = append(p.idle, c)
 }
 
@@ -268,14 +273,14 @@
 func (p *pool) dial() {
 	c, err := connect(p.config, p.address, p.config.DialTimeout)
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	// In one step with the grant: a dial that no longer counts while its waiter still does would be
+	// followed by a second one.
 	p.dialing--
-	p.mu.Unlock()
 	if err == nil {
-		p.put(c)
+		p.putLocked(c)
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.open--
 	if refused(err) {
 		p.incarnation = ""
--- a/back/result.go
+++ b/back/result.go
@@ -62,7 +62,7 @@
 	Draining bool
 	// ColdFor is how much longer the server says it stays cold.
 	ColdFor time.Duration
-	// Fresh means that the attempt was the first on its connection.
+	// Fresh means that the connection was opened for this attempt and has never been idle.
 	Fresh bool
 	// Refused means that the server refused or reset a connection.
 	Refused bool
