Take another order key when the issuer of the first is lost

Cause: TestOrdersWithOneNodeLost had more than 1 in 1,000 orders without an answer beside busy processes. In flight at the loss are at most two, which may be unknown. The others were refused: a caller that allows 100 attempts tried the key of the lost node until its timeout, although nothing had been sent with it. Ruled out: orders that ran and were reported as refused (the check of the orders against the servers passed). Conclusion: after three attempts that reach no issuer a new key is taken.

--- a/call/client.go
+++ b/call/client.go
@@ -59,8 +59,8 @@
 	// Silence is how long a connection may leave sent data unacknowledged, or keepalive probes
 	// unanswered, before it is closed.
 	Silence time.Duration
-	// Attempts is the most times that a query is sent, and that an order is sent with a key
-	// that no node forwarded before a new key is taken.
+	// Attempts is the most times that a query is sent, or a request for order keys or for the outcome
+	// of an order.
 	Attempts int
 	// KeyBatch is the number of order keys that are fetched at once, ahead of use.
 	KeyBatch int
--- a/call/order.go
+++ b/call/order.go
@@ -49,6 +49,9 @@
 	// the loss of a node a slice may have no home for about 3 s.
 	firstOrderPause   = 10 * time.Millisecond
 	longestOrderPause = 500 * time.Millisecond
+	// unsentAttempts is the number of attempts with a key that has reached no issuer, before a new key
+	// of another node is taken: the default of Attempts, which callers may set higher for queries.
+	unsentAttempts = 3
 )
 
 // keyOutcome is what one attempt tells of its order key.
@@ -128,7 +131,7 @@
 		}
 		failure := r.asFailure()
 		result.Failure = failure
-		if !open && n >= c.config.Attempts {
+		if !open && n >= unsentAttempts {
 			break
 		}
 		if isFinal(failure.Reason) || !time.Now().Before(key.Expires) || !c.pauseOrder(ctx, n, failure.RetryIn.Std()) {
--- a/call/order_test.go
+++ b/call/order_test.go
@@ -120,6 +120,22 @@
 	is.Equal(again.Outcome, wire.Unknown) // an earlier attempt may have run
 }
 
+// Guards against an order that is refused because its key belongs to a lost node, while other nodes issue
+// keys: a caller that allows many attempts tried the same key until its timeout.
+func TestOrderTakesAnotherKeyAfterALoss(t *testing.T) {
+	is := is.New(t)
+	var script []action
+	for range unsentAttempts {
+		script = append(script, fail(unreached))
+	}
+	n := newNode(t, append(script, answer)...)
+	c := newClient(t, n, func(config *Config) { config.Attempts = 100 })
+	r := c.Order(context.Background(), "ledger", Order{Kind: "place-order"})
+	is.Equal(r.Outcome, wire.Answered)
+	keys := n.keysSent()
+	is.True(keys[len(keys)-1] != keys[0])
+}
+
 // Guards against one request for a key before each order, and against the use of keys that end
 // before the order does.
 func TestOrderKeysAreFetchedAhead(t *testing.T) {
