Give new nodes no part of the bounds over all nodes in their first window

Cause: the retry slack of a service and the rate of a cold server are divided by the number of nodes. Ruled out: losses and partitions of running nodes, which count on. Conclusion: a node has no part for one window and one second after its start, one second where all nodes start, and none while it has met nobody, for at most a minute. The gauge nodes_sharing shows the number.

--- a/gather/attempt.go
+++ b/gather/attempt.go
@@ -37,7 +37,7 @@
 // afford reports whether the task may be sent, and takes an extra arrival out of the budget unless it
 // is the first.
 func (e *Engine) afford(now time.Time, t *task) bool {
-	return t.isUnsent() || t.pool.budget.spend(&e.config.Budget, now, e.nodes)
+	return t.isUnsent() || t.pool.budget.spend(&e.config.Budget, now, e.slack(now))
 }
 
 // send sends a task that the engine can afford.
--- a/gather/budget.go
+++ b/gather/budget.go
@@ -52,12 +52,12 @@
 	b.first[b.last%int64(len(b.first))]++
 }
 
-// spend takes an extra arrival out of the budget, if one is left.
-func (b *budget) spend(c *BudgetConfig, now time.Time, nodes int) bool {
+// spend takes an extra arrival out of the budget, if one is left. The slack is this node's part.
+func (b *budget) spend(c *BudgetConfig, now time.Time, slack float64) bool {
 	if c.Window <= 0 {
 		return true
 	}
-	extra, limit := b.sum(c, now, nodes)
+	extra, limit := b.sum(c, now, slack)
 	if float64(extra+1) > limit {
 		return false
 	}
@@ -66,11 +66,11 @@
 }
 
 // used returns the part of the budget that is spent, between 0 and 1.
-func (b *budget) used(c *BudgetConfig, now time.Time, nodes int) float64 {
+func (b *budget) used(c *BudgetConfig, now time.Time, slack float64) float64 {
 	if c.Window <= 0 {
 		return 0
 	}
-	extra, limit := b.sum(c, now, nodes)
+	extra, limit := b.sum(c, now, slack)
 	if limit <= 0 {
 		return 1
 	}
@@ -78,7 +78,7 @@
 }
 
 // sum returns the extra arrivals of the window and the most that are allowed.
-func (b *budget) sum(c *BudgetConfig, now time.Time, nodes int) (extra int, limit float64) {
+func (b *budget) sum(c *BudgetConfig, now time.Time, slack float64) (extra int, limit float64) {
 	b.slide(c, now)
 	first := 0
 	for i := range b.first {
@@ -87,7 +87,7 @@
 	}
 	// The oldest bucket is in the window only in part.
 	first -= b.first[(b.last+1)%int64(len(b.first))]
-	return extra, budgetShare * (c.Ratio*float64(first) + c.Slack/float64(nodes))
+	return extra, budgetShare * (c.Ratio*float64(first) + slack)
 }
 
 // refund gives back an extra arrival of the given time that did not reach a server.
--- a/gather/budget_test.go
+++ b/gather/budget_test.go
@@ -37,7 +37,7 @@
 		for ; due >= 1; due-- {
 			b.request(&c, now)
 			first = append(first, now)
-			for b.spend(&c, now, 1) {
+			for b.spend(&c, now, c.Slack) {
 				extra = append(extra, now)
 			}
 		}
@@ -62,8 +62,8 @@
 	}
 	const typical, tail = 20 * time.Millisecond, 40 * time.Millisecond // of a class without answers
 	is.Equal(hedgeAt(), typical+tail/2)
-	for e.pools["a"].budget.used(&e.config.Budget, epoch, 1) < lateHedgeUse {
-		is.True(e.pools["a"].budget.spend(&e.config.Budget, epoch, 1))
+	for e.pools["a"].budget.used(&e.config.Budget, epoch, 10) < lateHedgeUse {
+		is.True(e.pools["a"].budget.spend(&e.config.Budget, epoch, 10))
 	}
 	is.Equal(hedgeAt(), r.Target.Sub(epoch)-tail)
 }
--- a/gather/choose.go
+++ b/gather/choose.go
@@ -63,12 +63,12 @@
 
 // usable reports whether the server may get another request from this node.
 func (e *Engine) usable(now time.Time, s *server) bool {
-	return s.isListed() && s.hasRoom(now, e.nodes)
+	return s.isListed() && s.hasRoom(now, e.share(now, coldWindow))
 }
 
 // hasRoom reports whether a connection, room at the server and, in a cold start, a part of its rate
 // is left.
-func (s *server) hasRoom(now time.Time, nodes int) bool {
+func (s *server) hasRoom(now time.Time, coldShare float64) bool {
 	if s.Connections > 0 && len(s.open) >= s.Connections || s.window > 0 && len(s.open) >= s.window {
 		return false
 	}
@@ -79,7 +79,7 @@
 		return false
 	}
 	if s.ColdRate > 0 && s.cold(now) {
-		return float64(s.sent.count(now)+1) <= s.ColdRate/float64(nodes)
+		return float64(s.sent.count(now)+1) <= s.ColdRate*coldShare
 	}
 	return true
 }
--- a/gather/engine.go
+++ b/gather/engine.go
@@ -17,7 +17,10 @@
 	FailureDomain string
 	// Budget bounds hedges and retries for each pool.
 	Budget BudgetConfig
-	Seed   uint64
+	// Start is when the node started, and FirstStart means that all nodes started with it.
+	Start      time.Time
+	FirstStart bool
+	Seed       uint64
 }
 
 // Engine serves requests by the servers of pools.
@@ -208,8 +211,9 @@
 	e.config.Budget = c
 }
 
-// SetNodes tells how many nodes share the servers. Budgets and cold rates are divided by it.
-func (e *Engine) SetNodes(n int) { e.nodes = max(1, n) }
+// SetNodes tells how many nodes share the servers. Budgets and cold rates are divided by it. 0 means that
+// the number is not known yet, and the node has no part in them.
+func (e *Engine) SetNodes(n int) { e.nodes = n }
 
 // Load is what an engine has in hand.
 type Load struct {
@@ -217,11 +221,13 @@
 	Requests, Attempts, Waiting int
 	// Servers are listed, Ejected of them get no requests for a while.
 	Servers, Ejected int
+	// Nodes share the bounds; 0 means that their number is not known.
+	Nodes int
 }
 
 // Load returns what the engine has in hand.
 func (e *Engine) Load(now time.Time) Load {
-	l := Load{Requests: len(e.jobs), Attempts: len(e.attempts), Servers: len(e.servers)}
+	l := Load{Requests: len(e.jobs), Attempts: len(e.attempts), Servers: len(e.servers), Nodes: e.nodes}
 	for _, s := range e.servers {
 		if s.ejected(now) {
 			l.Ejected++
--- a/gather/finish.go
+++ b/gather/finish.go
@@ -11,7 +11,7 @@
 		return time.Time{}
 	}
 	earliest, latest := e.hedgeTimes(now, j)
-	used := min(1, t.pool.budget.used(&e.config.Budget, now, e.nodes)/lateHedgeUse)
+	used := min(1, t.pool.budget.used(&e.config.Budget, now, e.slack(now))/lateHedgeUse)
 	return earliest.Add(time.Duration(used * float64(latest.Sub(earliest))))
 }
 
--- a/gather/server.go
+++ b/gather/server.go
@@ -135,13 +135,16 @@
 // cold reports whether the server is in a cold start.
 func (s *server) cold(now time.Time) bool { return now.Before(s.ColdUntil) }
 
-// coldMeter counts the requests sent to a server in the last second.
+// coldWindow is the window of the bound on a cold server, which is a rate per second.
+const coldWindow = time.Second
+
+// coldMeter counts the requests sent to a server in the last coldWindow.
 type coldMeter struct {
 	at []time.Time
 }
 
 func (m *coldMeter) count(now time.Time) int {
-	for len(m.at) > 0 && now.Sub(m.at[0]) >= time.Second {
+	for len(m.at) > 0 && now.Sub(m.at[0]) >= coldWindow {
 		m.at = m.at[1:]
 	}
 	return len(m.at)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -75,6 +75,7 @@
 	m.Gauge("shards_waiting", float64(load.Waiting))
 	m.Gauge("servers", float64(load.Servers))
 	m.Gauge("servers_ejected", float64(load.Ejected))
+	m.Gauge("nodes_sharing", float64(load.Nodes))
 	m.Gauge("goroutines", float64(runtime.NumGoroutine()))
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,6 +86,9 @@
 	status   fleet.Status
 
 	stopping atomic.Bool
+	started  time.Time
+	// alone counts the nodes again when one that has met no other may count itself.
+	alone *time.Timer
 }
 
 // New opens the sockets between nodes. Run must be called to use the node.
@@ -92,7 +96,8 @@
 	s := c.Settings
 	n := &Node{
 		config: c, log: c.Log, metrics: meter.New(s.Name, s.FailureDomain), attemptCounters: make(attemptCounters),
-		blame: guard.NewBlame(),
+		blame:   guard.NewBlame(),
+		started: time.Now(),
 		backend: back.NewClient(back.Config{
 			MaxAnswer: s.Limits.AnswerBytes, Headers: c.Headers, Logger: c.Log,
 		}),
@@ -105,9 +110,10 @@
 		relays: make(map[gather.RelayID]context.CancelFunc),
 		engine: gather.New(gather.Config{
 			FailureDomain: s.FailureDomain, Seed: rand.Uint64(),
-			Budget: budgetOf(s),
+			Budget: budgetOf(s), Start: time.Now(), FirstStart: s.FirstStart,
 		}),
 	}
+	n.engine.SetNodes(0)
 	n.settings.Store(s)
 	n.expiry = time.AfterFunc(time.Hour, n.expire)
 	p, err := peer.New(peer.Config{
@@ -124,6 +130,8 @@
 	}
 	n.peer = p
 	n.peer.SetSeeds(seedAddresses(s))
+	n.countNodes()
+	n.alone = time.AfterFunc(aloneAfter, n.countNodes)
 	return n, nil
 }
 
@@ -162,6 +170,12 @@
 	return false
 }
 
+// hasOtherSeeds reports whether the settings name a seed other than this node.
+func (n *Node) hasOtherSeeds() bool {
+	s := n.settings.Load()
+	return slices.ContainsFunc(s.Seeds, func(a netip.AddrPort) bool { return a.Addr() != s.PeerAddress.Addr() })
+}
+
 // seedAddresses returns the peer addresses of the seeds, which have the same port on all nodes.
 func seedAddresses(s *conf.Settings) []netip.AddrPort {
 	var seeds []netip.AddrPort
@@ -178,6 +192,7 @@
 	group.Go(func() error { n.read(ctx); return nil })
 	group.Go(func() error { n.gauge(ctx); return nil })
 	err := group.Wait()
+	n.alone.Stop()
 	n.backend.Close()
 	return errors.CombineErrors(err, n.metrics.Close())
 }
@@ -228,12 +243,20 @@
 // counting costs time in proportion to the members.
 const countDelay = 50 * time.Millisecond
 
+// aloneAfter is the time after which a node that has met no other counts itself as the only one. Until then
+// the others may live behind a partition; nodes that go down count as long.
+const aloneAfter = time.Minute
+
 // countNodes tells the engine how many nodes share the servers. Nodes that went down lately count,
 // since they may live behind a partition.
 func (n *Node) countNodes() {
 	members := n.peer.Members()
+	count := len(members)
+	if count <= 1 && n.hasOtherSeeds() && time.Since(n.started) < aloneAfter {
+		count = 0
+	}
 	n.mu.Lock()
-	n.engine.SetNodes(len(members))
+	n.engine.SetNodes(count)
 	n.engine.SetRelays(n.relaysOf(members))
 	n.mu.Unlock()
 	n.feedMu.Lock()
--- /dev/null
+++ b/node/share_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"log/slog"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/wire"
+)
+
+// Guards against a node that takes the whole of the bounds for itself because it has met no other yet, as
+// after a restart behind a partition, and against one that stays without a part when it is the only one.
+func TestNodesThatShareTheBounds(t *testing.T) {
+	t.Parallel()
+	self, other := netip.MustParseAddrPort("127.0.85.1:0"), netip.MustParseAddrPort("127.0.85.2:1")
+	for name, c := range map[string]struct {
+		seeds []netip.AddrPort
+		age   time.Duration
+		want  int
+	}{
+		"other seeds":         {[]netip.AddrPort{self, other}, 0, 0},
+		"alone for a minute":  {[]netip.AddrPort{self, other}, aloneAfter, 1},
+		"only seed":           {[]netip.AddrPort{self}, 0, 1},
+		"single node, no one": {nil, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, err := New(Config{
+				Headers: wire.DefaultHeaders(), Log: slog.New(slog.DiscardHandler),
+				Settings: &conf.Settings{
+					Name: "n", FailureDomain: "lukang", Region: "tw", PeerAddress: self, Seeds: c.seeds,
+					FleetKeys: []string{strings.Repeat("ab", 16)},
+				},
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			n.started = n.started.Add(-c.age)
+			n.countNodes()
+			if got := n.engine.Load(time.Now()).Nodes; got != c.want {
+				t.Fatalf("the bounds are divided by %d nodes, want %d", got, c.want)
+			}
+		})
+	}
+}
