--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -129,9 +129,28 @@
 // keepListing gives out the platform's list every few seconds, as each node fetches it.
 func (s *sim) keepListing() {
 	s.listVMs()
+	s.offerLostDocument()
 	s.at(s.now+5*time.Second, s.keepListing)
 }
 
+// offerLostDocument gives the newest document to another process when the one that the platform gave it to
+// died before it told anybody. Each node asks the platform for a newer document all the time.
+func (s *sim) offerLostDocument() {
+	var next *proc
+	for _, p := range s.procs {
+		switch {
+		case p.dead:
+		case p.version == s.latest:
+			return
+		case next == nil && !p.paused:
+			next = p
+		}
+	}
+	if next != nil {
+		s.give(next, s.latest)
+	}
+}
+
 func simAddress(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
 }
