Let a new node wait for its part of the bounds until all others can know of it

Ruled out: restarts and losses, which the earlier rule covers. Conclusion: a new node has no part while a member is lost, for at most a minute, after which lost members are forgotten.

--- a/gather/fleet_test.go
+++ b/gather/fleet_test.go
@@ -21,6 +21,8 @@
 	noFault fleetFault = iota
 	// newNodesShareAtOnce gives a new node its part of the bounds from its start.
 	newNodesShareAtOnce
+	// newNodesShareUnheard gives a new node its part before a node that is cut off has heard of it.
+	newNodesShareUnheard
 	// lostNodesStopCounting divides the bounds by the nodes that are in touch.
 	lostNodesStopCounting
 )
@@ -35,8 +37,9 @@
 // fleetMember is a node with the engine of its present process.
 type fleetMember struct {
 	engine *Engine
-	// alone means that the node is cut off from all others.
-	alone, down bool
+	// alone means that the node is cut off from all others, and met that it has been in touch with all
+	// at once.
+	alone, down, met bool
 }
 
 // fleetModel runs the engines of all nodes in virtual time under joins, restarts, losses and partitions.
@@ -90,7 +93,7 @@
 	if m.fault == newNodesShareAtOnce {
 		c.Start = epoch.Add(-time.Hour)
 	}
-	n.engine, n.down = New(c), false
+	n.engine, n.down, n.met = New(c), false, false
 	n.engine.SetNodes(0)
 	n.engine.SetPools(m.clock(), m.pools())
 	if !n.alone {
@@ -99,20 +102,26 @@
 }
 
 // count makes the nodes that are in touch count all that they have met. A node that is cut off keeps what it
-// knew.
+// knew. A new node has no part until all others have heard of it.
 func (m *fleetModel) count() {
-	met := 0
+	met, touch := 0, 0
 	for _, n := range m.members {
+		if !n.alone && !n.down {
+			touch++
+		}
 		if m.fault != lostNodesStopCounting || !n.alone && !n.down {
 			met++
 		}
 	}
 	for _, n := range m.members {
-		switch {
-		case !n.alone:
+		if n.alone || n.down {
+			if m.fault == lostNodesStopCounting {
+				n.engine.SetNodes(1)
+			}
+			continue
+		}
+		if n.met = n.met || touch == len(m.members) || m.fault == newNodesShareUnheard; n.met {
 			n.engine.SetNodes(met)
-		case m.fault == lostNodesStopCounting:
-			n.engine.SetNodes(1)
 		}
 	}
 }
@@ -239,18 +248,21 @@
 // Guards against checks of these bounds that cannot fail: each wrong rule is caught.
 func TestBoundsOverAllNodesAreChecked(t *testing.T) {
 	t.Parallel()
-	for name, fault := range map[string]fleetFault{
-		"new nodes share at once": newNodesShareAtOnce, "lost nodes stop counting": lostNodesStopCounting,
+	for name, c := range map[string]struct {
+		fault fleetFault
+		seed  uint64 // of a fleet that shows it
+	}{
+		"new nodes share at once":  {newNodesShareAtOnce, 94},
+		"new nodes share unheard":  {newNodesShareUnheard, 1362},
+		"lost nodes stop counting": {lostNodesStopCounting, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(200) {
-				if f := newFleetModel(seed+1, fault).check(); f != "" {
-					t.Logf("seed %d: %s", seed+1, f)
-					return
-				}
+			f := newFleetModel(c.seed, c.fault).check()
+			if f == "" {
+				t.Fatal("the wrong rule is not noticed")
 			}
-			t.Fatal("no fleet shows the wrong rule")
+			t.Log(f)
 		})
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -87,8 +87,10 @@
 
 	stopping atomic.Bool
 	started  time.Time
-	// alone counts the nodes again when one that has met no other may count itself.
-	alone *time.Timer
+	// met means that the node has been in touch with all others at once.
+	met atomic.Bool
+	// meeting counts the nodes again at the end of meetWithin.
+	meeting *time.Timer
 }
 
 // New opens the sockets between nodes. Run must be called to use the node.
@@ -131,7 +133,7 @@
 	n.peer = p
 	n.peer.SetSeeds(seedAddresses(s))
 	n.countNodes()
-	n.alone = time.AfterFunc(aloneAfter, n.countNodes)
+	n.meeting = time.AfterFunc(meetWithin, n.countNodes)
 	return n, nil
 }
 
@@ -170,6 +172,13 @@
 	return false
 }
 
+// mayBeUnheard reports whether a node may have heard nothing of this new one: all others where it has met
+// none, or members that are lost and may live behind a partition.
+func mayBeUnheard(members []fleet.Member, otherSeeds bool) bool {
+	lost := slices.ContainsFunc(members, func(m fleet.Member) bool { return m.State == fleet.StateDown })
+	return lost || len(members) <= 1 && otherSeeds
+}
+
 // hasOtherSeeds reports whether the settings name a seed other than this node.
 func (n *Node) hasOtherSeeds() bool {
 	s := n.settings.Load()
@@ -192,7 +201,7 @@
 	group.Go(func() error { n.read(ctx); return nil })
 	group.Go(func() error { n.gauge(ctx); return nil })
 	err := group.Wait()
-	n.alone.Stop()
+	n.meeting.Stop()
 	n.backend.Close()
 	return errors.CombineErrors(err, n.metrics.Close())
 }
@@ -243,17 +252,21 @@
 // counting costs time in proportion to the members.
 const countDelay = 50 * time.Millisecond
 
-// aloneAfter is the time after which a node that has met no other counts itself as the only one. Until then
-// the others may live behind a partition; nodes that go down count as long.
-const aloneAfter = time.Minute
+// meetWithin is the time after which a new node takes its part of the bounds although it has not been in
+// touch with all others at once. Members that are lost are forgotten after as long.
+const meetWithin = time.Minute
 
 // countNodes tells the engine how many nodes share the servers. Nodes that went down lately count,
-// since they may live behind a partition.
+// since they may live behind a partition. A new node has no part until each of them can have heard of it.
 func (n *Node) countNodes() {
 	members := n.peer.Members()
 	count := len(members)
-	if count <= 1 && n.hasOtherSeeds() && time.Since(n.started) < aloneAfter {
-		count = 0
+	if !n.met.Load() {
+		if mayBeUnheard(members, n.hasOtherSeeds()) && time.Since(n.started) < meetWithin {
+			count = 0
+		} else {
+			n.met.Store(true)
+		}
 	}
 	n.mu.Lock()
 	n.engine.SetNodes(count)
--- a/node/share_test.go
+++ b/node/share_test.go
@@ -7,7 +7,10 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
 
@@ -22,7 +25,7 @@
 		want  int
 	}{
 		"other seeds":         {[]netip.AddrPort{self, other}, 0, 0},
-		"alone for a minute":  {[]netip.AddrPort{self, other}, aloneAfter, 1},
+		"alone for a minute":  {[]netip.AddrPort{self, other}, meetWithin, 1},
 		"only seed":           {[]netip.AddrPort{self}, 0, 1},
 		"single node, no one": {nil, 0, 1},
 	} {
@@ -45,3 +48,15 @@
 		})
 	}
 }
+
+// Guards against a new node that takes its part of the bounds while a member behind a partition still divides
+// by the number of nodes without it.
+func TestNewNodeWaitsForLostMembers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	up, lost := fleet.Member{State: fleet.StateAlive}, fleet.Member{State: fleet.StateDown}
+	is.True(!mayBeUnheard([]fleet.Member{up, up}, true))
+	is.True(mayBeUnheard([]fleet.Member{up, up, lost}, true))
+	is.True(mayBeUnheard([]fleet.Member{up}, true))
+	is.True(!mayBeUnheard([]fleet.Member{up}, false))
+}
