--- a/drill/result.go
+++ b/drill/result.go
@@ -13,9 +13,6 @@
 	"github.com/arbutusthread/arbutusthread/wire"
 )
 
-// windowTime is the length of the windows of which the worst one is reported.
-const windowTime = 2 * time.Second
-
 // Result holds the figures of one case with one policy.
 type Result struct {
 	Case   string `json:"Case"`
@@ -27,8 +24,8 @@
 	// 2 s, the mean over the runs.
 	Worth float64 `json:"Worth"`
 	Worst float64 `json:"Worst"`
-	// Windows holds the share earned in each window.
-	Windows []float64 `json:"Windows"`
+	// Windows holds the figures of each window of 2 s.
+	Windows []Window `json:"Windows"`
 	// Extra is the share of arrivals at servers beyond the first of each shard of a request, and
 	// BudgetUse the most of the bound on them that was used in any window, 1 for all of it.
 	Extra     float64 `json:"Extra"`
@@ -36,7 +33,7 @@
 	// Crashes counts cold servers that got more than they bear.
 	Crashes int `json:"Crashes"`
 
-	earned, owed   []float64
+	windows        []windowLoad
 	firsts, extras int
 	pools          map[string]*poolLoad
 }
@@ -63,10 +60,9 @@
 }
 
 func newResult(c Case, p Policy, _ uint64) *Result {
-	n := int(c.Duration/windowTime) + 1
 	return &Result{
 		Case: c.Name, Policy: p.Name, Seeds: 1, Kinds: make(map[string]*KindResult), pools: make(map[string]*poolLoad),
-		earned: make([]float64, n), owed: make([]float64, n),
+		windows: make([]windowLoad, int(c.Duration/windowTime)+1),
 	}
 }
 
@@ -83,7 +79,9 @@
 	k := r.kind(q.kind.Name)
 	k.Asked++
 	k.owed += q.kind.Worth
-	r.owed[q.arrived/windowTime] += q.kind.Worth
+	w := &r.windows[q.arrived/windowTime]
+	w.asked++
+	w.owed += q.kind.Worth
 }
 
 func (r *Result) pool(name string) *poolLoad {
@@ -107,9 +105,11 @@
 	if !q.reached[f.task] {
 		q.reached[f.task] = true
 		r.firsts++
+		r.windows[q.arrived/windowTime].firsts++
 		return
 	}
 	r.extras++
+	r.windows[q.arrived/windowTime].extras++
 	name := ledger
 	if f.server.pool < len(w.pools) {
 		name = w.pools[f.server.pool]
@@ -120,14 +120,16 @@
 
 // ended includes the end of a request.
 func (r *Result) ended(w *world, q *request, f *gather.Finished) {
-	k := r.kind(q.kind.Name)
+	k, v := r.kind(q.kind.Name), &r.windows[q.arrived/windowTime]
 	switch f.End {
 	case gather.Complete, gather.Partial:
 	case gather.Refused:
 		k.Refused++
+		v.rejected++
 		return
 	default:
 		k.Failed++
+		v.rejected++
 		return
 	}
 	coverage := float64(f.Answered) / float64(f.Total)
@@ -140,7 +142,9 @@
 	}
 	k.earned += earned
 	k.covered += coverage
-	r.earned[q.arrived/windowTime] += earned
+	v.earned += earned
+	v.covered += coverage
+	v.latencies = append(v.latencies, w.now-q.arrived)
 	// Latencies are below the range's minute, so recording cannot fail.
 	_ = k.latencies.RecordValue((w.now - q.arrived).Microseconds())
 }
@@ -187,13 +191,14 @@
 	r.Worth = earned / owed
 	r.Extra = float64(r.extras) / float64(max(1, r.firsts))
 	r.Windows, r.Worst = nil, 1
-	for i := range r.owed {
-		share := 1.0
-		if r.owed[i] > 0 {
-			share = r.earned[i] / r.owed[i]
-		}
-		r.Windows = append(r.Windows, share)
-		r.Worst = min(r.Worst, share)
+	n := len(r.windows)
+	for n > 0 && r.windows[n-1].asked == 0 {
+		n--
+	}
+	for i := range r.windows[:n] {
+		v := r.windows[i].figures(time.Duration(i) * windowTime)
+		r.Windows = append(r.Windows, v)
+		r.Worst = min(r.Worst, v.Worth)
 	}
 }
 
@@ -212,9 +217,8 @@
 		t.covered += k.covered
 		t.latencies.Merge(k.latencies)
 	}
-	for i := range r.owed {
-		r.earned[i] += x.earned[i]
-		r.owed[i] += x.owed[i]
+	for i := range r.windows {
+		r.windows[i].add(&x.windows[i])
 	}
 	r.firsts += x.firsts
 	r.extras += x.extras
--- a/trial.go
+++ b/trial.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"os"
+	"path/filepath"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
 
 	"github.com/arbutusthread/arbutusthread/drill"
@@ -21,6 +25,9 @@
 	// run runs one case with the seeds from 1 up, and pools the results of each policy.
 	run   func(ctx context.Context, name string, seeds int) ([]R, error)
 	write func(w io.Writer, results []R) error
+	// plot writes an SVG of one case; nil where there is none. The flag names the folder for plots.
+	plot  func(w io.Writer, results []R) error
+	plots string
 }
 
 func newTrial(s *shell, parent *ff.FlagSet) *ff.Command {
@@ -44,7 +51,7 @@
 
 func newDrill(s *shell, parent *ff.FlagSet) *ff.Command {
 	c := &experiment[*drill.Result]{
-		shell: s, names: drill.CaseNames(), write: drill.WriteText,
+		shell: s, names: drill.CaseNames(), write: drill.WriteText, plot: drill.WriteSVG,
 		run: func(ctx context.Context, name string, seeds int) ([]*drill.Result, error) {
 			one, err := drill.FindCase(name)
 			if err != nil {
@@ -58,13 +65,16 @@
 each case with one load pattern or fault. The same seeds give the same figures.
 
 Example:
-  arbutusthread drill --case burst --seeds 10`)
+  arbutusthread drill --case burst --seeds 10 --plots plots`)
 }
 
 func (c *experiment[R]) command(parent *ff.FlagSet, name, short, long string) *ff.Command {
 	flags := ff.NewFlagSet(name).SetParent(parent)
 	flags.StringVar(&c.name, 0, "case", "", "only this case: "+strings.Join(c.names, ", "))
 	flags.IntVar(&c.seeds, 0, "seeds", 1, "number of seeds, counted from 1, whose runs are pooled")
+	if c.plot != nil {
+		flags.StringVar(&c.plots, 0, "plots", "", "folder for a plot of each case over time, CASE.svg")
+	}
 	return &ff.Command{
 		Name: name, Usage: "arbutusthread " + name + " [FLAGS]", ShortHelp: short, LongHelp: long, Flags: flags, Exec: c.exec,
 	}
@@ -87,6 +97,9 @@
 		if err != nil {
 			return usagef("--case: %v", err)
 		}
+		if err := c.savePlot(name, r); err != nil {
+			return err
+		}
 		all = append(all, r...)
 	}
 	var text strings.Builder
@@ -95,3 +108,18 @@
 	}
 	return c.print(all, text.String())
 }
+
+// savePlot writes the plot of a case to the folder for plots, if one is named.
+func (c *experiment[R]) savePlot(name string, results []R) error {
+	if c.plots == "" {
+		return nil
+	}
+	var b bytes.Buffer
+	if err := c.plot(&b, results); err != nil {
+		return err
+	}
+	if err := os.MkdirAll(c.plots, 0o755); err != nil {
+		return errors.Wrap(err, "make the folder for plots")
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(c.plots, name+".svg"), b.Bytes(), 0o644), "write plot")
+}
