Start one process after soak faults that overlap

Two faults hit the node at once; both waited for the same end and both started a process. The first one was no longer known and would have outlived the run. Ruled out: a port that an outgoing connection had taken (7600 is outside the local range), a listener that outlives its process.

--- a/soak/process.go
+++ b/soak/process.go
@@ -90,7 +90,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	// Faults overlap, and another one may have started it again meanwhile.
+	if p.closed || p.done != done {
 		return nil
 	}
 	return p.start()
