Wait before the retry of a moved attempt that does not count

Cause: TestInvariants panicked once (negative shift in route.Backoff; the plan is kept in testdata). An attempt that the scheduler takes off a cold server does not count as a try, and a canary moved in this way is tried again with no try so far. Ruled out: other callers of Backoff, which count from 1. Before: the kept plan panics. After: it passes, as do 5,000 plans. Conclusion: the pause of such a retry is that of the first one.

--- a/sched/done.go
+++ b/sched/done.go
@@ -215,7 +215,8 @@
 		s.launch(now, t, t.purpose(), out)
 		return
 	}
-	at := now.Add(route.Backoff(s.rand, t.tries))
+	// An attempt that the scheduler took away does not count, so a moved canary may have no try yet.
+	at := now.Add(route.Backoff(s.rand, max(1, t.tries)))
 	if !at.Before(t.job.Deadline) {
 		s.miss(now, t, reason, out)
 		return
