--- a/back/client.go
+++ b/back/client.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/option"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
 
@@ -65,15 +66,15 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.Connections = orDefault(c.Connections, defaultConnections)
-	c.DialTimeout = orDefault(c.DialTimeout, defaultDialTimeout)
-	c.ProbeTimeout = orDefault(c.ProbeTimeout, defaultProbeTimeout)
-	c.IdleLifetime = orDefault(c.IdleLifetime, defaultIdleLifetime)
-	c.CancelTimeout = orDefault(c.CancelTimeout, defaultCancelTimeout)
-	c.RetireTimeout = orDefault(c.RetireTimeout, defaultRetireTimeout)
-	c.UserTimeout = orDefault(c.UserTimeout, defaultUserTimeout)
-	c.MaxRequest = orDefault(c.MaxRequest, defaultMaxRequest)
-	c.MaxAnswer = orDefault(c.MaxAnswer, defaultMaxAnswer)
+	c.Connections = option.Positive(c.Connections, defaultConnections)
+	c.DialTimeout = option.Positive(c.DialTimeout, defaultDialTimeout)
+	c.ProbeTimeout = option.Positive(c.ProbeTimeout, defaultProbeTimeout)
+	c.IdleLifetime = option.Positive(c.IdleLifetime, defaultIdleLifetime)
+	c.CancelTimeout = option.Positive(c.CancelTimeout, defaultCancelTimeout)
+	c.RetireTimeout = option.Positive(c.RetireTimeout, defaultRetireTimeout)
+	c.UserTimeout = option.Positive(c.UserTimeout, defaultUserTimeout)
+	c.MaxRequest = option.Positive(c.MaxRequest, defaultMaxRequest)
+	c.MaxAnswer = option.Positive(c.MaxAnswer, defaultMaxAnswer)
 	if c.Headers == (wire.Headers{}) {
 		c.Headers = wire.DefaultHeaders()
 	}
@@ -83,13 +84,6 @@
 	return c
 }
 
-func orDefault[T int | time.Duration](v, d T) T {
-	if v <= 0 {
-		return d
-	}
-	return v
-}
-
 // Server is a backend server with its cap.
 type Server struct {
 	Address netip.AddrPort
@@ -131,7 +125,7 @@
 		if p == nil {
 			p = newPool(&k.config, v.Address)
 		}
-		p.setCap(orDefault(v.Connections, k.config.Connections))
+		p.setCap(option.Positive(v.Connections, k.config.Connections))
 		next[v.Address] = p
 	}
 	for a, p := range old {
--- a/call/client.go
+++ b/call/client.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/arbutusthread/arbutusthread/clock"
+	"github.com/arbutusthread/arbutusthread/option"
 	"github.com/arbutusthread/arbutusthread/route"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
@@ -80,11 +81,11 @@
 	if c.Timeout < 0 || c.ConnectTimeout < 0 || c.Silence < 0 || c.Attempts < 0 || c.KeyBatch < 0 {
 		return errors.New("call: config has a negative value")
 	}
-	defaultTo(&c.Timeout, DefaultTimeout)
-	defaultTo(&c.ConnectTimeout, DefaultConnectTimeout)
-	defaultTo(&c.Silence, DefaultSilence)
-	defaultTo(&c.Attempts, DefaultAttempts)
-	defaultTo(&c.KeyBatch, DefaultKeyBatch)
+	option.Default(&c.Timeout, DefaultTimeout)
+	option.Default(&c.ConnectTimeout, DefaultConnectTimeout)
+	option.Default(&c.Silence, DefaultSilence)
+	option.Default(&c.Attempts, DefaultAttempts)
+	option.Default(&c.KeyBatch, DefaultKeyBatch)
 	if c.Seed == 0 {
 		var b [8]byte
 		if _, err := crand.Read(b[:]); err != nil {
@@ -98,13 +99,6 @@
 	return nil
 }
 
-func defaultTo[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // Client sends the requests of one caller. It is safe for concurrent use.
 type Client struct {
 	config Config
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/option"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
 
@@ -193,24 +194,17 @@
 
 // setDefaults leaves negative values for Check to report.
 func (s *Settings) setDefaults() {
-	defaultTo(&s.KeepFor, wire.Duration(DefaultKeepFor))
-	defaultTo(&s.PlatformForm, PlatformDocuments)
-	defaultTo(&s.Log.Level, slog.LevelInfo.String())
+	option.Default(&s.KeepFor, wire.Duration(DefaultKeepFor))
+	option.Default(&s.PlatformForm, PlatformDocuments)
+	option.Default(&s.Log.Level, slog.LevelInfo.String())
 	l := &s.Limits
-	defaultTo(&l.BodyBytes, DefaultBodyBytes)
-	defaultTo(&l.AnswerBytes, DefaultAnswerBytes)
-	defaultTo(&l.TopK, DefaultTopK)
-	defaultTo(&l.CallerConnections, DefaultCallerConnections)
-	defaultTo(&l.OrderKeyBatch, DefaultOrderKeyBatch)
-	defaultTo(&l.OrderKeys, DefaultOrderKeys)
-	defaultTo(&l.Decisions, DefaultDecisions)
-}
-
-func defaultTo[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
+	option.Default(&l.BodyBytes, DefaultBodyBytes)
+	option.Default(&l.AnswerBytes, DefaultAnswerBytes)
+	option.Default(&l.TopK, DefaultTopK)
+	option.Default(&l.CallerConnections, DefaultCallerConnections)
+	option.Default(&l.OrderKeyBatch, DefaultOrderKeyBatch)
+	option.Default(&l.OrderKeys, DefaultOrderKeys)
+	option.Default(&l.Decisions, DefaultDecisions)
 }
 
 // Check returns every fault of the settings. It reads no files.
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/option"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
 
@@ -33,21 +34,14 @@
 }
 
 func (c Config) withDefaults() Config {
-	c.MaxProven = orDefault(c.MaxProven, defaultMaxProven)
-	c.ProvenFor = orDefault(c.ProvenFor, defaultProvenFor)
-	c.MaxNotes = orDefault(c.MaxNotes, defaultMaxNotes)
-	c.MaxWaiting = orDefault(c.MaxWaiting, defaultMaxWaiting)
-	c.SuspectFor = orDefault(c.SuspectFor, defaultSuspectFor)
+	c.MaxProven = option.Positive(c.MaxProven, defaultMaxProven)
+	c.ProvenFor = option.Positive(c.ProvenFor, defaultProvenFor)
+	c.MaxNotes = option.Positive(c.MaxNotes, defaultMaxNotes)
+	c.MaxWaiting = option.Positive(c.MaxWaiting, defaultMaxWaiting)
+	c.SuspectFor = option.Positive(c.SuspectFor, defaultSuspectFor)
 	return c
 }
 
-func orDefault[T int | time.Duration](v, d T) T {
-	if v <= 0 {
-		return d
-	}
-	return v
-}
-
 // Action is what a request must do.
 type Action int
 
--- a/order/table.go
+++ b/order/table.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/arbutusthread/arbutusthread/option"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
 
@@ -65,24 +66,17 @@
 	if c.Signer == nil || !c.Issuer.IsValid() || c.Incarnation == 0 {
 		return nil, errors.New("order: a table needs a signer, an address and an incarnation")
 	}
-	c.Lifetime = orDefault(c.Lifetime, defaultLifetime)
-	c.Keep = orDefault(c.Keep, defaultKeep)
-	c.MaxKeys = orDefault(c.MaxKeys, defaultMaxKeys)
-	c.MaxBatch = orDefault(c.MaxBatch, defaultMaxBatch)
-	c.MaxCallerKeys = orDefault(c.MaxCallerKeys, max(1, c.MaxKeys/callerShare))
-	c.MaxResults = orDefault(c.MaxResults, defaultMaxResults)
+	c.Lifetime = option.Positive(c.Lifetime, defaultLifetime)
+	c.Keep = option.Positive(c.Keep, defaultKeep)
+	c.MaxKeys = option.Positive(c.MaxKeys, defaultMaxKeys)
+	c.MaxBatch = option.Positive(c.MaxBatch, defaultMaxBatch)
+	c.MaxCallerKeys = option.Positive(c.MaxCallerKeys, max(1, c.MaxKeys/callerShare))
+	c.MaxResults = option.Positive(c.MaxResults, defaultMaxResults)
 	return &Table{
 		config: c, entries: make(map[uint64]*entry), callers: make(map[string]int), next: 1,
 	}, nil
 }
 
-func orDefault[T int | time.Duration](v, d T) T {
-	if v <= 0 {
-		return d
-	}
-	return v
-}
-
 // Issue returns count new keys, or a refusal when the table is full or stopped.
 func (t *Table) Issue(now time.Time, service, caller string, count int) ([]wire.OrderKey, *wire.Failure) {
 	t.Expire(now)
