Take the part of the bounds only after the lost members can be known

Cause: read again as a newcomer: a new node took its part as soon as the members that it knew were all up. The first node that it meets may not have told it of a lost one yet. Ruled out: a wait in the engine alone, which does not know of lost members. The counting of nodes has its own file.

--- a/node/node.go
+++ b/node/node.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -89,8 +88,8 @@
 	started  time.Time
 	// met means that the node has been in touch with all others at once.
 	met atomic.Bool
-	// meeting counts the nodes again at the end of meetWithin.
-	meeting *time.Timer
+	// meetings count the nodes again at the end of hearWithin and of meetWithin.
+	meetings []*time.Timer
 }
 
 // New opens the sockets between nodes. Run must be called to use the node.
@@ -133,7 +132,9 @@
 	n.peer = p
 	n.peer.SetSeeds(seedAddresses(s))
 	n.countNodes()
-	n.meeting = time.AfterFunc(meetWithin, n.countNodes)
+	for _, d := range []time.Duration{hearWithin, meetWithin} {
+		n.meetings = append(n.meetings, time.AfterFunc(d, n.countNodes))
+	}
 	return n, nil
 }
 
@@ -172,19 +173,6 @@
 	return false
 }
 
-// mayBeUnheard reports whether a node may have heard nothing of this new one: all others where it has met
-// none, or members that are lost and may live behind a partition.
-func mayBeUnheard(members []fleet.Member, otherSeeds bool) bool {
-	lost := slices.ContainsFunc(members, func(m fleet.Member) bool { return m.State == fleet.StateDown })
-	return lost || len(members) <= 1 && otherSeeds
-}
-
-// hasOtherSeeds reports whether the settings name a seed other than this node.
-func (n *Node) hasOtherSeeds() bool {
-	s := n.settings.Load()
-	return slices.ContainsFunc(s.Seeds, func(a netip.AddrPort) bool { return a.Addr() != s.PeerAddress.Addr() })
-}
-
 // seedAddresses returns the peer addresses of the seeds, which have the same port on all nodes.
 func seedAddresses(s *conf.Settings) []netip.AddrPort {
 	var seeds []netip.AddrPort
@@ -201,7 +189,9 @@
 	group.Go(func() error { n.read(ctx); return nil })
 	group.Go(func() error { n.gauge(ctx); return nil })
 	err := group.Wait()
-	n.meeting.Stop()
+	for _, t := range n.meetings {
+		t.Stop()
+	}
 	n.backend.Close()
 	return errors.CombineErrors(err, n.metrics.Close())
 }
@@ -248,34 +238,4 @@
 	}
 }
 
-// countDelay lets changes of members that come together, as at the start of a fleet, take effect together:
-// counting costs time in proportion to the members.
-const countDelay = 50 * time.Millisecond
-
-// meetWithin is the time after which a new node takes its part of the bounds although it has not been in
-// touch with all others at once. Members that are lost are forgotten after as long.
-const meetWithin = time.Minute
-
-// countNodes tells the engine how many nodes share the servers. Nodes that went down lately count,
-// since they may live behind a partition. A new node has no part until each of them can have heard of it.
-func (n *Node) countNodes() {
-	members := n.peer.Members()
-	count := len(members)
-	if !n.met.Load() {
-		if mayBeUnheard(members, n.hasOtherSeeds()) && time.Since(n.started) < meetWithin {
-			count = 0
-		} else {
-			n.met.Store(true)
-		}
-	}
-	n.mu.Lock()
-	n.engine.SetNodes(count)
-	n.engine.SetRelays(n.relaysOf(members))
-	n.mu.Unlock()
-	n.feedMu.Lock()
-	n.sharers.table = nil
-	n.feedMu.Unlock()
-	n.install(time.Now())
-}
-
 var errNoFeed = errors.New("node: peer has no data")
--- a/node/share_test.go
+++ b/node/share_test.go
@@ -45,6 +45,9 @@
 			if got := n.engine.Load(time.Now()).Nodes; got != c.want {
 				t.Fatalf("the bounds are divided by %d nodes, want %d", got, c.want)
 			}
+			if met := n.met.Load(); met != (c.age >= hearWithin) {
+				t.Fatalf("the node has met all others: %v after %v", met, c.age)
+			}
 		})
 	}
 }
