--- /dev/null
+++ b/front/metrics_test.go
@@ -0,0 +1,57 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusthread/arbutusthread/stand"
+)
+
+// Guards against metrics that the operations page names and the metrics address does not serve.
+func TestMetricsAreServed(t *testing.T) {
+	is := is.New(t)
+	f, _ := newLedger(t, stand.RoutedConfig{})
+	is.Equal(f.call(f.nodes[0], http.MethodGet, "/lookup/x", "").status, http.StatusOK)
+	ops := OpsHandler(f.nodes[0].Node, quiet)
+	scrape := func() string {
+		w := httptest.NewRecorder()
+		ops.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", nil))
+		is.Equal(w.Code, http.StatusOK)
+		return w.Body.String()
+	}
+	for _, name := range []string{
+		`requests{`, `request_latency_bucket{`, `attempts{`, `config_version{`, `platform_revision{`,
+		`platform_age_seconds{`, `reader_rank{`, `members{`, `requests_open{`, `attempts_open{`, `shards_waiting{`,
+		`servers{`, `servers_ejected{`, `nodes_sharing{`, `goroutines{`, `platform_reads{`,
+	} {
+		f.until("the metric "+name+" is served", func() bool { return strings.Contains(scrape(), "arbutusthread_"+name) })
+	}
+	f.until("the request is counted", func() bool {
+		for line := range strings.Lines(scrape()) {
+			if strings.HasPrefix(line, "arbutusthread_requests{") && strings.Contains(line, `route="lookup"`) {
+				return strings.Contains(line, `status="200"`) && strings.HasSuffix(line, "} 1\n")
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+		return false
+	})
+}
+
+// Guards against metrics that grow with the number of routes that callers ask for.
+func TestRouteNamesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var n routeNames
+	names := map[string]bool{}
+	for i := range 10 * maxRouteNames {
+		names[n.name(fmt.Sprint("route-", i))] = true
+	}
+	is.Equal(len(names), maxRouteNames+1)
+	is.Equal(n.name("route-0"), "route-0")
+	is.Equal(n.name("route-999"), otherRoutes)
+}
