--- a/back/conn.go
+++ b/back/conn.go
@@ -42,7 +42,8 @@
 	used   time.Time
 	served int
 	// kept says that the connection has been idle in the pool, where the server may have closed it.
-	kept   bool
+	kept bool
+	// secure says that the stream is one of TLS.
 	secure bool
 	// idleLimit is how long the server keeps the connection without use, 0 when it did not say.
 	idleLimit time.Duration
--- a/gather/fleet_test.go
+++ b/gather/fleet_test.go
@@ -83,7 +83,7 @@
 	n := &fleetMember{}
 	m.members = append(m.members, n)
 	m.start(n)
-	m.queue.Add(m.now+time.Millisecond+m.within(joinSpread), m.count)
+	m.queue.Add(m.now+time.Millisecond+m.within(JoinSpread), m.count)
 	m.queue.Add(m.now+m.within(time.Second), func() { m.load(n) })
 }
 
@@ -97,7 +97,7 @@
 	n.engine.SetNodes(0)
 	n.engine.SetPools(m.clock(), m.pools())
 	if !n.alone {
-		m.queue.Add(m.now+m.within(joinSpread), m.count)
+		m.queue.Add(m.now+m.within(JoinSpread), m.count)
 	}
 }
 
@@ -140,7 +140,7 @@
 		n.alone = true
 		m.queue.Add(m.now+2*time.Second+m.within(20*time.Second), func() { n.alone = false; m.count() })
 	}
-	m.queue.Add(m.now+m.within(joinSpread), m.count)
+	m.queue.Add(m.now+m.within(JoinSpread), m.count)
 }
 
 func (m *fleetModel) pools() []Pool {
--- a/gather/share.go
+++ b/gather/share.go
@@ -2,16 +2,16 @@
 
 import "time"
 
-// joinSpread is the time in which the other nodes count a new one: they hear of it within one heartbeat of
+// JoinSpread is the time in which the other nodes count a new one: they hear of it within one heartbeat of
 // 300 ms. The rest is for nodes that are slow.
-const joinSpread = time.Second
+const JoinSpread = time.Second
 
 // share returns this node's part of a bound that holds for all nodes together in any window of the length.
 // A new node has no part in its first window: the others still divide by the number of nodes without it,
 // and an earlier process of its own may have used its part. Where all nodes have just started, nobody has
 // used any, and the new node only waits until it knows how many they are.
 func (e *Engine) share(now time.Time, window time.Duration) float64 {
-	wait := joinSpread
+	wait := JoinSpread
 	if !e.config.FirstStart {
 		wait += window
 	}
--- a/node/share.go
+++ b/node/share.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/gather"
 )
 
 // countDelay lets changes of members that come together, as at the start of a fleet, take effect together:
@@ -17,8 +18,8 @@
 const meetWithin = time.Minute
 
 // hearWithin is the time in which a new node hears of all members, also of lost ones; the first that it meets
-// may know few others. It is that of gather's joinSpread, before which the node has no part anyway.
-const hearWithin = time.Second
+// may know few others. Before its end the node has no part anyway.
+const hearWithin = gather.JoinSpread
 
 // countNodes tells the engine how many nodes share the servers. Nodes that went down lately count,
 // since they may live behind a partition. A new node has no part until each of them can have heard of it.
