Catch SIGHUP until the process ends

The logs show the stop and no end of it. The watch of the settings stopped catching SIGHUP when the stop began, so the SIGHUP that followed ended the process. Ruled out: a crash (no trace in the log), the end of the stop time (6 s). Before: the new test's process is ended by SIGHUP. After: it passes. Conclusion: SIGHUP is caught for as long as the process lives; while it stops, settings are no longer read.

--- a/reload.go
+++ b/reload.go
@@ -24,7 +24,8 @@
 	hup   chan os.Signal
 }
 
-// newSettingsWatch returns a watch that has begun to catch SIGHUP, which would end the process.
+// newSettingsWatch returns a watch that has begun to catch SIGHUP, which would end the process. It is caught
+// until the process ends, because a node that stops must still finish its requests.
 func newSettingsWatch(w settingsWatch) *settingsWatch {
 	w.hup = make(chan os.Signal, 1)
 	signal.Notify(w.hup, syscall.SIGHUP)
@@ -33,7 +34,6 @@
 
 // run looks at the file at each SIGHUP and now and then until ctx ends.
 func (w *settingsWatch) run(ctx context.Context) {
-	defer signal.Stop(w.hup)
 	t := time.NewTicker(settingsCheck)
 	defer t.Stop()
 	for {
--- a/reload_test.go
+++ b/reload_test.go
@@ -1,11 +1,15 @@
 package main
 
 import (
+	"context"
 	"log/slog"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -43,3 +47,24 @@
 	w.check()
 	is.Equal(len(applied), 2)
 }
+
+// Guards against a node that stops and is ended by SIGHUP before its requests are: on the users' bench, day
+// rolling-stops of souches-mu with seed 469330088439. A process of its own catches no SIGHUP elsewhere.
+func TestHangupWhileStopping(t *testing.T) {
+	is := is.New(t)
+	const child = "ARBUTUSTHREAD_TEST_HANGUP"
+	if os.Getenv(child) == "" {
+		c := exec.CommandContext(t.Context(), os.Args[0], "-test.run=^TestHangupWhileStopping$")
+		c.Env = append(os.Environ(), child+"=1")
+		out, err := c.CombinedOutput()
+		t.Logf("%s", out)
+		is.NoErr(err)
+		return
+	}
+	w := newSettingsWatch(settingsWatch{log: slog.New(slog.DiscardHandler)})
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	w.run(ctx)
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	time.Sleep(100 * time.Millisecond) // a signal that is not caught ends the process within it
+}
