Check in the soak that planned stops exit with code 0

Cause: the soak stops and reloads nodes, also at once, but could not see the SIGHUP that ended a stopping node: any end after SIGTERM was expected. Before: an end by a signal after SIGTERM passes. After: it is a broken promise, unless a SIGKILL or a second SIGTERM asked for it.

--- a/soak/process.go
+++ b/soak/process.go
@@ -29,13 +29,24 @@
 	done    chan struct{}
 	// starts counts the starts, so that what a caller saw can be tied to one of them.
 	starts int
-	// expected means that the end of the process was asked for.
-	expected bool
-	// exits are ends that nobody asked for.
+	// ending is how the end of the process was asked for.
+	ending ending
+	// exits are ends that nobody asked for, and planned stops with another exit code than 0.
 	exits  []string
 	closed bool
 }
 
+// ending is how a process is asked to end.
+type ending int
+
+const (
+	notAsked ending = iota
+	// stopping processes finish their requests and exit with code 0.
+	stopping
+	// ended processes end at once: by SIGKILL, or by a second SIGTERM.
+	ended
+)
+
 // start starts the process. The lock must be held.
 func (p *process) start() error {
 	c := exec.CommandContext(context.Background(), p.binary, "node", "--config", p.settings)
@@ -43,7 +54,7 @@
 	if err := c.Start(); err != nil {
 		return errors.Wrapf(err, "soak: start %s", p.name)
 	}
-	p.command, p.done, p.expected = c, make(chan struct{}), false
+	p.command, p.done, p.ending = c, make(chan struct{}), notAsked
 	p.starts++
 	go p.wait(c, p.done)
 	return nil
@@ -52,7 +63,7 @@
 func (p *process) wait(c *exec.Cmd, done chan struct{}) {
 	err := c.Wait()
 	p.mu.Lock()
-	if !p.expected {
+	if p.ending == notAsked || p.ending == stopping && err != nil {
 		p.exits = append(p.exits, p.name+": "+describe(err))
 	}
 	p.mu.Unlock()
@@ -70,8 +81,11 @@
 func (p *process) signal(s os.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s == syscall.SIGKILL || s == syscall.SIGTERM {
-		p.expected = true
+	switch {
+	case s == syscall.SIGKILL, s == syscall.SIGTERM && p.ending == stopping:
+		p.ending = ended
+	case s == syscall.SIGTERM && p.ending == notAsked:
+		p.ending = stopping
 	}
 	// A process that has ended takes no signal, and needs none.
 	_ = p.command.Process.Signal(s)
@@ -107,7 +121,7 @@
 // close ends the process for good.
 func (p *process) close() {
 	p.mu.Lock()
-	p.closed, p.expected = true, true
+	p.closed, p.ending = true, ended
 	command, done := p.command, p.done
 	p.mu.Unlock()
 	if command == nil {
