Make the tests of soak processes independent of timing

Cause: with 20 counts each they failed beside load: a restart that came late saw the next process and restarted it too, a shell got SIGTERM before its trap, and a script was still open for writing in another process that had just been started.

--- a/soak/process.go
+++ b/soak/process.go
@@ -96,6 +96,11 @@
 	p.mu.Lock()
 	done := p.done
 	p.mu.Unlock()
+	return p.restartAfter(done, within)
+}
+
+// restartAfter is restart for the process that ends with done.
+func (p *process) restartAfter(done chan struct{}, within time.Duration) error {
 	select {
 	case <-done:
 	case <-time.After(within):
