--- a/chart/canvas.go
+++ b/chart/canvas.go
@@ -1,5 +1,4 @@
-// Package chart draws line and bar charts with a legend as SVG: a canvas for single shapes, and figures of
-// panels with lines over time.
+// Package chart draws panels with lines, bars, scales and a legend as SVG.
 package chart
 
 import (
--- a/node/share_test.go
+++ b/node/share_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"log/slog"
 	"net/netip"
 	"strings"
@@ -40,6 +41,13 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			ended, end := context.WithCancel(t.Context())
+			end()
+			t.Cleanup(func() {
+				if err := n.Run(ended); err != nil { // closes the sockets
+					t.Error(err)
+				}
+			})
 			n.started = n.started.Add(-c.age)
 			n.countNodes()
 			if got := n.engine.Load(time.Now()).Nodes; got != c.want {
--- a/plat/client.go
+++ b/plat/client.go
@@ -21,6 +21,7 @@
 	"sync"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/clock"
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
 )
@@ -278,14 +279,7 @@
 
 // pause waits for a random time and returns false when ctx ends first.
 func (c *Client) pause(ctx context.Context, failures int) bool {
-	t := time.NewTimer(c.backoff(failures))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, c.backoff(failures))
 }
 
 // backoff uses full jitter, so that readers which failed together do not return together. A
