Check server entries in one place, and let an odd one cost only itself

Cause: an entry of another writer with a start time after the year 9999 was accepted and could not be encoded as JSON, so a node that had read it could not pass any change to its peers, which stopped following the list. Cold times overflowed into negative ones, and port 0, address 0.0.0.0, slots of 9e18 and IDs with line ends, which are sent as a header, were accepted.

The reader of the store and the replica apply it, so that an entry that an older node passes on is dropped too: it removes the server of its ID and nothing else. TopK reserves memory only for records that exist.

--- a/feed/state.go
+++ b/feed/state.go
@@ -105,6 +105,7 @@
 		return false, nil
 	}
 	changes := slices.Clone(d.Changes)
+	removeInvalid(changes)
 	if d.Full {
 		changes = append(changes, s.impliedRemovals(d)...)
 	}
@@ -129,6 +130,16 @@
 	return changed, nil
 }
 
+// removeInvalid replaces each entry that fails Server.Check by the removal of its server. A server whose entry names
+// nothing that can be used counts as not listed until a valid entry follows.
+func removeInvalid(changes []Change) {
+	for i := range changes {
+		if c := &changes[i]; c.Server != nil && c.Server.Check() != nil {
+			*c = Change{Revision: c.Revision, Removed: c.Server.ID}
+		}
+	}
+}
+
 // resolvePatches replaces each patch by the resulting configuration. A patch to a version that the state
 // already has, or an older one, is left as it is.
 func (s *State) resolvePatches(changes []Change) error {
--- a/gather/merge.go
+++ b/gather/merge.go
@@ -11,7 +11,11 @@
 // TopK returns the greatest k records of the parts in descending order, compared byte by byte. Duplicate
 // records are kept. Trailing bytes of a part that are shorter than a record are ignored.
 func TopK(parts [][]byte, k int) []byte {
-	h := make(records, 0, k+1)
+	total := 0
+	for _, p := range parts {
+		total += len(p) / RecordSize
+	}
+	h := make(records, 0, max(0, min(k, total)))
 	for _, p := range parts {
 		for ; len(p) >= RecordSize; p = p[RecordSize:] {
 			r := p[:RecordSize]
--- a/gather/merge_test.go
+++ b/gather/merge_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 
@@ -54,6 +55,17 @@
 	is.Equal(TopK([][]byte{TopK([][]byte{a, b}, 5), c}, 5), TopK([][]byte{a, b, c}, 5))
 }
 
+// Guards against a count from a message or a configuration that panics or allocates memory for records that do not
+// exist.
+func TestTopKWithOddCounts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	parts := [][]byte{make([]byte, 3*RecordSize)}
+	is.Equal(len(TopK(parts, math.MaxInt)), 3*RecordSize)
+	is.Equal(len(TopK(parts, -1)), 0)
+	is.Equal(len(TopK(nil, math.MaxInt)), 0)
+}
+
 func ExampleTopK() {
 	parts := [][]byte{[]byte("record-000000001record-000000009"), []byte("record-000000005")}
 	fmt.Println(string(TopK(parts, 2)))
