Bound answers without end, and refuse late copies without an ID

A late copy without an ID, or with its end cut off, reached the next caller, and a late refusal said of a request that had run that it had not.

Change: a head has 20 KB. Memory for a body is reserved as it grows, 24 MB for all large answers of a node together, and not by the length that the server claims. A connection that is closed is drained of 64 KB at most. On a connection whose answers bear IDs, one without counts as an answer to another request, so the request may have run. On other connections unread bytes are looked for before each reuse, not only after 10 ms.

--- a/back/client.go
+++ b/back/client.go
@@ -98,8 +98,10 @@
 	scratch sync.Pool
 	mu      sync.Mutex
 	pools   atomic.Pointer[map[netip.AddrPort]*pool]
-	stop    context.CancelFunc
-	done    chan struct{}
+	// buffered is the memory for large answers to Forward.
+	buffered answerMemory
+	stop     context.CancelFunc
+	done     chan struct{}
 }
 
 // NewClient returns a client without servers and starts its goroutine, which runs until Close.
--- a/back/conn.go
+++ b/back/conn.go
@@ -25,6 +25,8 @@
 	readBufferBytes = 4 << 10
 	// maxHeaderBytes bounds the status line and headers of an answer.
 	maxHeaderBytes = 16 << 10
+	// maxDrainBytes bounds what is read from a connection that is being closed. A server that sends more is reset.
+	maxDrainBytes = 64 << 10
 )
 
 var errTooLarge = errors.New("back: answer is too large")
@@ -42,6 +44,8 @@
 	// answers read from it.
 	lastUsed time.Time
 	answers  int
+	// echoesID is set once an answer bore the ID of its request. An answer without one is then for another request.
+	echoesID bool
 	// wasIdle is set once the connection has been idle in the pool, where the server may have closed it.
 	wasIdle bool
 	isTLS   bool
@@ -110,6 +114,8 @@
 	if c.raw.SetDeadline(deadline) != nil {
 		return false
 	}
+	// Without IDs in the answers, only the check shows bytes that a server has sent late.
+	check = check || c.answers > 0 && !c.echoesID
 	check = check && (c.answers > 0 || c.wasIdle && !c.isTLS)
 	return (!check && time.Since(c.lastUsed) < aliveCheckAfter) || c.alive()
 }
@@ -131,13 +137,13 @@
 }
 
 // shutdown closes the sending side of the connection, which ends the request that runs on it, and waits
-// for the server to close the other side. After the timeout the connection is reset.
+// for the server to close the other side. After the timeout, or when the server sends on, the connection is reset.
 func (c *conn) shutdown(timeout time.Duration) {
 	defer c.raw.Close()
 	if c.raw.CloseWrite() != nil || c.raw.SetReadDeadline(time.Now().Add(timeout)) != nil {
 		return
 	}
-	if _, err := io.Copy(io.Discard, c.raw); isTimeout(err) {
+	if n, err := io.CopyN(io.Discard, c.raw, maxDrainBytes); isTimeout(err) || n == maxDrainBytes {
 		_ = c.raw.SetLinger(0)
 	}
 }
--- a/back/exchange.go
+++ b/back/exchange.go
@@ -191,7 +191,7 @@
 // readAnswer reads one answer into s.in and reports whether the connection can be reused. The error is
 // a *readError.
 func (c *conn) readAnswer(s *scratch, limit int) (status int, reusable bool, err error) {
-	c.readBudget = maxHeaderBytes + limit
+	c.readBudget = maxHeaderBytes + readBufferBytes
 	if _, err := c.reader.Peek(1); err != nil {
 		return 0, false, &readError{err: err, beforeAnswer: true}
 	}
@@ -201,11 +201,12 @@
 	}
 	defer v.Body.Close()
 	s.in.Reset()
+	c.readBudget += limit
 	if v.ContentLength > int64(limit) {
 		return 0, false, &readError{err: errTooLarge, inBody: true}
 	}
 	if v.ContentLength > 0 {
-		s.in.Grow(int(v.ContentLength) + bytes.MinRead)
+		s.in.Grow(int(min(v.ContentLength, smallAnswerBytes)) + bytes.MinRead)
 	}
 	s.limited = io.LimitedReader{R: v.Body, N: int64(limit) + 1}
 	if _, err := s.in.ReadFrom(&s.limited); err != nil {
--- a/back/forward.go
+++ b/back/forward.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -137,13 +138,13 @@
 	var reply *Reply
 	reusable := false
 	if err == nil {
-		reply, reusable, err = c.readReply(f.Method, k.config.MaxAnswer)
+		reply, reusable, err = c.readReply(f.Method, k.config.MaxAnswer, &k.buffered)
 	}
 	stopped := stop()
 	r.Latency = time.Since(begin)
 	if err == nil {
+		k.classifyReply(c, f, reply, r)
 		c.answers++
-		k.classifyReply(f, reply, r)
 	} else {
 		k.classifyForwardError(ctx, c, p, begin, err, r)
 	}
@@ -218,9 +219,9 @@
 }
 
 // readReply reads one answer and reports whether the connection can be reused. The limit is the largest
-// body size in bytes. The error is a *readError.
-func (c *conn) readReply(method string, limit int) (*Reply, bool, error) {
-	c.readBudget = maxHeaderBytes + limit
+// body size in bytes. A large body must also fit in the memory for all answers. The error is a *readError.
+func (c *conn) readReply(method string, limit int, memory *answerMemory) (*Reply, bool, error) {
+	c.readBudget = maxHeaderBytes + readBufferBytes
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, false, &readError{err: err, beforeAnswer: true}
 	}
@@ -232,7 +233,8 @@
 	if v.ContentLength > int64(limit) {
 		return nil, false, &readError{err: errTooLarge, inBody: true}
 	}
-	body, err := readBody(v, limit)
+	c.readBudget += limit
+	body, err := readBody(v, limit, memory)
 	if err != nil {
 		return nil, false, &readError{err: err, inBody: true}
 	}
@@ -255,17 +257,59 @@
 	}
 }
 
-func readBody(v *http.Response, limit int) ([]byte, error) {
-	if v.ContentLength >= 0 {
+// answerMemory counts the bytes that are reserved for large answers that are being read.
+type answerMemory struct{ reserved atomic.Int64 }
+
+const (
+	// smallAnswerBytes is the size up to which an answer needs no reservation.
+	smallAnswerBytes = 64 << 10
+	// maxAnswerMemory is the maximum size of all reservations of a client. Servers that send bytes without end must not
+	// exhaust the memory of a small node, whatever their number.
+	maxAnswerMemory = 24 << 20
+)
+
+// reserve adds bytes to the reservation. It returns errTooLarge if the memory for answers is in use.
+func (m *answerMemory) reserve(n int) error {
+	if m.reserved.Add(int64(n)) > maxAnswerMemory {
+		m.reserved.Add(-int64(n))
+		return errTooLarge
+	}
+	return nil
+}
+
+// readBody reads a body. It reserves memory as the body grows, not for the length that the server claims.
+func readBody(v *http.Response, limit int, memory *answerMemory) ([]byte, error) {
+	if v.ContentLength >= 0 && v.ContentLength <= smallAnswerBytes {
 		body := make([]byte, v.ContentLength)
 		_, err := io.ReadFull(v.Body, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(v.Body, int64(limit)+1))
-	if err == nil && len(body) > limit {
-		err = errTooLarge
+	reserved := 0
+	defer func() { memory.reserved.Add(-int64(reserved)) }()
+	body := make([]byte, 0, bytes.MinRead)
+	for {
+		n, err := v.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) > limit:
+			return nil, errTooLarge
+		case len(body) < cap(body):
+			continue
+		}
+		grown := 2 * cap(body)
+		if grown > smallAnswerBytes {
+			// The old and the new buffer are in use while the body is copied.
+			if err := memory.reserve(grown); err != nil {
+				return nil, err
+			}
+			reserved += grown
+		}
+		body = append(make([]byte, 0, grown), body...)
 	}
-	return body, err
 }
 
 // parseIdleTimeout returns the timeout of the Keep-Alive header less idleMargin, at least 1 ms, or 0 if
@@ -283,17 +327,19 @@
 	return 0
 }
 
-// classifyReply sets the outcome of a complete answer from its status and headers.
-func (k *Client) classifyReply(f *Forward, reply *Reply, r *Result) {
+// classifyReply sets the outcome of a complete answer from its status and headers. An answer with the ID of another
+// request, or without one on a connection whose answers bear IDs, was sent late for another request.
+func (k *Client) classifyReply(c *conn, f *Forward, reply *Reply, r *Result) {
 	h := &k.config.Headers
 	r.Outcome, r.MayHaveRun = OK, true
 	r.Incarnation = reply.Header.Get(h.Instance)
 	if ms, err := strconv.ParseInt(reply.Header.Get(h.ColdRemaining), 10, 32); err == nil && ms > 0 {
 		r.ColdRemaining = time.Duration(ms) * time.Millisecond
 	}
-	switch id := reply.Header.Get(h.RequestID); {
-	case id != "" && id != f.RequestID:
-		r.fail(Invalid, "back: answer is for another request")
+	id := reply.Header.Get(h.RequestID)
+	switch {
+	case id != "" && id != f.RequestID, id == "" && c.echoesID:
+		r.fail(Invalid, "back: answer with ID "+strconv.Quote(id)+" and status "+strconv.Itoa(reply.Status)+" is for another request")
 	case reply.Status == http.StatusMisdirectedRequest:
 		r.Reason = wire.BackendIncarnation
 		r.fail(NotRun, "back: another server instance uses the address")
@@ -303,6 +349,7 @@
 	case slices.ContainsFunc(reply.Header["Content-Encoding"], func(v string) bool { return v != "identity" }):
 		r.fail(Invalid, "back: answer has a content encoding")
 	}
+	c.echoesID = c.echoesID || id != "" && id == f.RequestID
 }
 
 // classifyForwardError classifies an attempt that failed after a byte was written.
