Contain panics at the borders to the platform, peers and servers

Cause: a panic in the processing of one answer of the platform, of one pull or one datagram from a peer, or of one answer of a server or relay ended the process, as the new tests showed before the change (two end with a panic). An invalid configuration from a peer took effect, although the reader of the platform drops such a one.

Change: panics.Catch turns a panic at these borders into the error of that message, which is logged with the peer and counted as before; locks around them are released by deferred calls. The replica checks a configuration too.

Measured: go test ./node ./peer -run Panic passes.

--- a/feed/state.go
+++ b/feed/state.go
@@ -189,7 +189,7 @@
 	case c.Patch != nil:
 		return false
 	case c.Config != nil:
-		if s.config != nil && c.Config.Version <= s.config.Version {
+		if s.config != nil && c.Config.Version <= s.config.Version || c.Config.Check() != nil {
 			return false
 		}
 		s.config = c.Config
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/arbutusthread/arbutusthread/back"
 	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/panics"
 )
 
 // startAttempt sends an attempt in a goroutine of its own. The caller holds n.mu.
@@ -17,7 +18,16 @@
 		defer cancel()
 		f := c.forward
 		f.Instance = s.Server.ID
-		reply, r := n.backend.Forward(ctx, s.Server.Address, s.Deadline, &f)
+		var reply *back.Reply
+		var r back.Result
+		err := panics.Catch(func() error {
+			reply, r = n.backend.Forward(ctx, s.Server.Address, s.Deadline, &f)
+			return nil
+		})
+		if err != nil {
+			n.log.Error("answer of a server caused a panic", "RequestId", f.RequestID, "Server", s.Server.ID, "Error", err)
+			reply, r = nil, back.Result{Outcome: back.Invalid, MayHaveRun: true, Message: "panic"}
+		}
 		n.finishAttempt(c, s, reply, r)
 	}()
 }
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -39,6 +39,8 @@
 	reads atomic.Int64
 	// delay is added to each answer, in nanoseconds.
 	delay atomic.Int64
+	// panics is the number of further reads that panic, as on an answer that a decoder does not expect.
+	panics atomic.Int64
 }
 
 func (s *platformLink) waitDelay(ctx context.Context) error {
@@ -51,6 +53,9 @@
 }
 
 func (s *platformLink) Load(ctx context.Context, stale bool) (feed.Delta, error) {
+	if s.panics.Add(-1) >= 0 {
+		panic("malformed answer")
+	}
 	if s.unavailable.Load() {
 		return feed.Delta{}, fake.ErrPlatformDown
 	}
@@ -61,6 +66,9 @@
 }
 
 func (s *platformLink) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
+	if s.panics.Add(-1) >= 0 {
+		panic("malformed answer")
+	}
 	if s.unavailable.Load() {
 		return feed.Delta{}, fake.ErrPlatformDown
 	}
--- a/node/install.go
+++ b/node/install.go
@@ -42,10 +42,7 @@
 
 // apply merges changes into the feed state and installs the result. The origin is only logged.
 func (n *Node) apply(now time.Time, d feed.Delta, origin string) error {
-	n.feedMu.Lock()
-	changed, err := n.feed.Apply(now, d)
-	revision := n.feed.Revision()
-	n.feedMu.Unlock()
+	changed, revision, err := n.applyLocked(now, d)
 	if err != nil {
 		return err
 	}
@@ -56,6 +53,13 @@
 	return nil
 }
 
+func (n *Node) applyLocked(now time.Time, d feed.Delta) (changed bool, revision uint64, err error) {
+	n.feedMu.Lock()
+	defer n.feedMu.Unlock()
+	changed, err = n.feed.Apply(now, d)
+	return changed, n.feed.Revision(), err
+}
+
 // dropExpired drops lapsed servers whose hold time has ended.
 func (n *Node) dropExpired() { n.install(time.Now()) }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/panics"
+	"github.com/arbutusthread/arbutusthread/table"
 )
 
 // Guards against changes that reach only some nodes, and against a fleet in which all nodes read the platform.
@@ -185,3 +187,44 @@
 		is.True(m.State != fleet.StateAlive || m.Address == members[0].config.Settings.PeerAddress)
 	}
 }
+
+// Guards against an answer of the platform that causes a panic and takes the process down, or stops it from following
+// the platform.
+func TestPanicOfARead(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	published, members := newFleet(t, 98, "lukang")
+	members[0].source.panics.Store(3)
+	published.SetConfig(config("s"))
+	waitFor(t, "the configuration", eventTimeout, func() bool { return hasService(members[0], "s") })
+	members[0].source.panics.Store(2)
+	published.SetConfig(config("s", "later"))
+	waitFor(t, "the next configuration", eventTimeout, func() bool { return hasService(members[0], "later") })
+	is.True(members[0].source.panics.Load() < 0) // all panics have happened
+}
+
+// Guards against an invalid configuration from a peer that takes effect, or that causes a panic while the replica is
+// locked: the node must go on with the one that it has.
+func TestPanicOfAPeerDelta(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	published, members := newFleet(t, 99, "lukang")
+	published.SetConfig(config("s"))
+	waitFor(t, "the configuration", eventTimeout, func() bool { return hasService(members[0], "s") })
+	valid := members[0].Table().Config().Version
+	is.NoErr(panics.Catch(func() error {
+		// A route that no check lets pass has neither targets nor shards.
+		broken := config("s")
+		broken.Version = 1 << 40
+		broken.Routes = []table.Route{{Host: "h", Prefix: "/"}, {}}
+		return members[0].applyPeerDelta(feed.Delta{From: 0, To: 1 << 40, Changes: []feed.Change{{Revision: 1 << 40, Config: &broken}}})
+	}))
+	done := make(chan uint64, 1)
+	go func() { done <- members[0].revision() }()
+	select {
+	case <-done:
+	case <-time.After(eventTimeout):
+		t.Fatal("the replica is locked for good")
+	}
+	is.Equal(members[0].Table().Config().Version, valid)
+}
--- a/node/read.go
+++ b/node/read.go
@@ -10,6 +10,7 @@
 
 	"github.com/arbutusthread/arbutusthread/clock"
 	"github.com/arbutusthread/arbutusthread/feed"
+	"github.com/arbutusthread/arbutusthread/panics"
 )
 
 const (
@@ -54,12 +55,14 @@
 	ctx, cancel := context.WithTimeout(ctx, p.Wait+min(maxReadGrace, readGrace<<min(failures, 10)))
 	defer cancel()
 	var d feed.Delta
-	var err error
-	if p.Step == feed.Load {
-		d, err = n.load(ctx)
-	} else {
-		d, err = n.config.Source.Watch(ctx, p.After, p.Wait)
-	}
+	err := panics.Catch(func() (err error) {
+		if p.Step == feed.Load {
+			d, err = n.load(ctx)
+		} else {
+			d, err = n.config.Source.Watch(ctx, p.After, p.Wait)
+		}
+		return err
+	})
 	now := time.Now()
 	n.metrics.Count("platform_reads", "step", p.Step.String(), "ok", strconv.FormatBool(err == nil))
 	if err != nil {
@@ -79,7 +82,7 @@
 	if failures > 0 {
 		n.log.Info("platform reads succeed again", "Failures", failures, "Revision", d.To)
 	}
-	if err := n.apply(now, d, "platform"); err != nil {
+	if err := panics.Catch(func() error { return n.apply(now, d, "platform") }); err != nil {
 		n.log.Warn("cannot apply platform data", "Error", err)
 		n.recordReadFailure(now, err)
 		return
--- a/node/relay.go
+++ b/node/relay.go
@@ -12,6 +12,7 @@
 	"github.com/arbutusthread/arbutusthread/back"
 	"github.com/arbutusthread/arbutusthread/fleet"
 	"github.com/arbutusthread/arbutusthread/gather"
+	"github.com/arbutusthread/arbutusthread/panics"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
 
@@ -31,7 +32,9 @@
 	}
 	go func() {
 		defer cancel()
-		err := n.peer.Gather(ctx, s.Address, q, func(p wire.GatherPart) { n.mergeRelayPart(c, s, p) })
+		err := panics.Catch(func() error {
+			return n.peer.Gather(ctx, s.Address, q, func(p wire.GatherPart) { n.mergeRelayPart(c, s, p) })
+		})
 		n.finishRelay(ctx, c, s, err)
 	}()
 }
@@ -165,11 +168,13 @@
 	c.onProgress = stream.onProgress
 	ended := make(chan error, 1)
 	go func() {
-		f, err := n.run(ctx, c)
-		if err == nil && f.End == gather.Refused {
-			err = errNothingSent
-		}
-		ended <- err
+		ended <- panics.Catch(func() error {
+			f, err := n.run(ctx, c)
+			if err == nil && f.End == gather.Refused {
+				err = errNothingSent
+			}
+			return err
+		})
 	}()
 	reply := time.NewTimer(time.Duration(q.ReplyIn) * time.Millisecond)
 	defer reply.Stop()
--- a/node/serve.go
+++ b/node/serve.go
@@ -102,29 +102,36 @@
 	c.deliveries = make([]delivery, len(c.job.Pools))
 	c.done = make(chan gather.Finished, 1)
 	c.fingerprint = fingerprintOf(&c.forward)
-	n.mu.Lock()
-	now := time.Now()
-	if f, refused := n.checkQuarantine(now, c); refused {
-		n.mu.Unlock()
+	if f, refused := n.submit(c); refused {
 		return f, nil
 	}
-	id, act := n.engine.Submit(now, c.job)
-	c.id = id
-	n.calls[id] = c
-	n.perform(now, c, act)
-	n.mu.Unlock()
 	select {
 	case f := <-c.done:
 		return f, nil
 	case <-ctx.Done():
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.perform(time.Now(), c, n.engine.Abandon(id))
+		n.perform(time.Now(), c, n.engine.Abandon(c.id))
 		n.removeCall(c)
 		return gather.Finished{}, context.Cause(ctx)
 	}
 }
 
+// submit passes a call to the engine, unless it is quarantined; it then returns the refusal and true.
+func (n *Node) submit(c *call) (gather.Finished, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	if f, refused := n.checkQuarantine(now, c); refused {
+		return f, true
+	}
+	id, act := n.engine.Submit(now, c.job)
+	c.id = id
+	n.calls[id] = c
+	n.perform(now, c, act)
+	return gather.Finished{}, false
+}
+
 // uniqueParts returns the parts without nil entries and duplicates. A part from a relay appears once for each of its
 // shards.
 func uniqueParts(parts []*Part) []*Part {
--- a/peer/node.go
+++ b/peer/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/panics"
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
 )
@@ -144,16 +145,25 @@
 			n.counters.rateLimited.Add(1)
 			continue
 		}
-		m, err := openDatagram(n.config.Keys, from, n.config.Member.Address, buf[:size])
-		if err != nil {
+		if err := panics.Catch(func() error { return n.handleDatagram(from, buf[:size]) }); err != nil {
 			n.counters.countRefused(err)
-			continue
+			if errors.Is(err, panics.ErrPanic) {
+				n.config.Log.Error("peer: datagram caused a panic", "peer", from, "error", err)
+			}
 		}
-		n.counters.received.Add(1)
-		n.runStep(func(now time.Time) []fleet.Output { return n.fleet.Handle(now, from, m) })
 	}
 }
 
+func (n *Node) handleDatagram(from netip.AddrPort, b []byte) error {
+	m, err := openDatagram(n.config.Keys, from, n.config.Member.Address, b)
+	if err != nil {
+		return err
+	}
+	n.counters.received.Add(1)
+	n.runStep(func(now time.Time) []fleet.Output { return n.fleet.Handle(now, from, m) })
+	return nil
+}
+
 func (n *Node) tick(ctx context.Context) {
 	t := time.NewTicker(fleet.TickInterval)
 	defer t.Stop()
@@ -169,7 +179,20 @@
 
 // runStep runs one step of the state machine, sends its messages and queues its events.
 func (n *Node) runStep(step func(now time.Time) []fleet.Output) {
+	for _, o := range n.stepLocked(step) {
+		if o.Message != nil {
+			n.sendDatagram(o.To, o.Message)
+		}
+	}
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) stepLocked(step func(now time.Time) []fleet.Output) []fleet.Output {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	out := step(n.readClock())
 	for _, o := range out {
 		if o.Event == nil {
@@ -181,16 +204,7 @@
 		}
 		n.events = append(n.events, e)
 	}
-	n.mu.Unlock()
-	for _, o := range out {
-		if o.Message != nil {
-			n.sendDatagram(o.To, o.Message)
-		}
-	}
-	select {
-	case n.wake <- struct{}{}:
-	default:
-	}
+	return out
 }
 
 // readClock returns the time for the state machine and notifies it of clock jumps. The caller must hold n.mu.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -168,3 +169,26 @@
 	_, err = io.Copy(io.Discard, r.Body)
 	return r, err
 }
+
+// Guards against a panic in the processing of data from a peer that takes the process down.
+func TestPanicOfAPull(t *testing.T) {
+	var installs atomic.Int32
+	a := startNode(t, "a", nil)
+	b := startNode(t, "b", func(c *Config) {
+		install := c.Handlers.InstallDocument
+		c.Handlers.InstallDocument = func(d Document) error {
+			if installs.Add(1) <= 2 {
+				panic("malformed document")
+			}
+			return install(d)
+		}
+	})
+	if err := a.install(testDocument(1)); err != nil {
+		t.Fatal(err)
+	}
+	b.SetSeeds([]netip.AddrPort{a.Self().Address})
+	eventually(t, "the document is installed after two panics", func() bool {
+		version, _ := b.Version()
+		return version == 1 && installs.Load() > 2
+	})
+}
--- a/peer/pull.go
+++ b/peer/pull.go
@@ -6,6 +6,7 @@
 
 	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/panics"
 	"github.com/cockroachdb/errors"
 )
 
@@ -37,7 +38,7 @@
 		defer func() { <-n.pullPermits }()
 		ctx, cancel := context.WithTimeout(ctx, n.config.Limits.PullTimeout)
 		defer cancel()
-		if err := pull(ctx, e); err != nil && ctx.Err() == nil {
+		if err := panics.Catch(func() error { return pull(ctx, e) }); err != nil && ctx.Err() == nil {
 			n.config.Log.Warn("peer: pull failed", "event", e.Kind, "peer", e.Peer, "version", e.Version, "error", err)
 		}
 	})
