--- a/place/place.go
+++ b/place/place.go
@@ -81,15 +81,17 @@
 func Choose(host string, routes []*table.Route, s DomainsByService, c Caller, nodes []Node) []netip.AddrPort {
 	costs := make(map[string]float64)
 	least := math.Inf(1)
-	for _, n := range nodes {
-		if _, ok := costs[n.FailureDomain]; !ok {
-			costs[n.FailureDomain] = Cost(routes, s, c, n.FailureDomain, n.Region)
-		}
-		least = min(least, costs[n.FailureDomain])
-	}
 	var nearest []Node
 	for _, n := range nodes {
-		if costs[n.FailureDomain] == least {
+		cost, ok := costs[n.FailureDomain]
+		if !ok {
+			cost = Cost(routes, s, c, n.FailureDomain, n.Region)
+			costs[n.FailureDomain] = cost
+		}
+		if cost < least {
+			least, nearest = cost, nearest[:0]
+		}
+		if cost == least {
 			nearest = append(nearest, n)
 		}
 	}
@@ -104,22 +106,50 @@
 // Nodes that are not busy come first, then those with the highest weight, then those with the highest
 // rendezvous hash, which spreads the hosts over the nodes.
 func SelectNodes(host string, nodes []Node) []Node {
-	nodes = slices.Clone(nodes)
-	ranks := make(map[netip.AddrPort]uint64, len(nodes))
-	for _, n := range nodes {
-		ranks[n.Address] = xxhash.Sum64String(host + " " + n.Address.String())
+	key := make([]byte, 0, len(host)+maxAddressLength)
+	key = append(append(key, host...), ' ')
+	rank := func(n *Node) uint64 { return xxhash.Sum64(n.Address.AppendTo(key)) }
+	// Only the best nodes of each domain are ordered, since a fleet has thousands of nodes.
+	domains := make(map[string][]candidate)
+	for i := range nodes {
+		c := candidate{Node: &nodes[i]}
+		best := domains[c.FailureDomain]
+		if len(best) == NodesPerDomain && best[len(best)-1].compareLoad(&c) < 0 {
+			continue
+		}
+		c.rank = rank(c.Node)
+		at, _ := slices.BinarySearchFunc(best, c, candidate.compare)
+		best = slices.Insert(best, at, c)
+		domains[c.FailureDomain] = best[:min(len(best), NodesPerDomain)]
+	}
+	var selected []candidate
+	for _, best := range domains {
+		selected = append(selected, best...)
 	}
-	slices.SortFunc(nodes, func(a, b Node) int {
-		return cmp.Or(
-			compareBool(a.Busy, b.Busy), cmp.Compare(b.Weight, a.Weight),
-			cmp.Compare(ranks[b.Address], ranks[a.Address]), a.Address.Compare(b.Address),
-		)
-	})
-	perDomain := make(map[string]int)
-	return slices.DeleteFunc(nodes, func(n Node) bool {
-		perDomain[n.FailureDomain]++
-		return perDomain[n.FailureDomain] > NodesPerDomain
-	})
+	slices.SortFunc(selected, candidate.compare)
+	list := make([]Node, len(selected))
+	for i, c := range selected {
+		list[i] = *c.Node
+	}
+	return list
+}
+
+// maxAddressLength is the length of the longest address with a port as text.
+const maxAddressLength = len("[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535")
+
+// candidate is a node with its rendezvous hash.
+type candidate struct {
+	*Node
+	rank uint64
+}
+
+// compareLoad orders the better node first, without regard to the hash.
+func (a *candidate) compareLoad(b *candidate) int {
+	return cmp.Or(compareBool(a.Busy, b.Busy), cmp.Compare(b.Weight, a.Weight))
+}
+
+func (a candidate) compare(b candidate) int {
+	return cmp.Or(a.compareLoad(&b), cmp.Compare(b.rank, a.rank), a.Address.Compare(b.Address))
 }
 
 // compareBool orders false before true.
