--- a/feed/fuzz_test.go
+++ b/feed/fuzz_test.go
@@ -14,6 +14,7 @@
 	f.Add([]byte(`{"To":9,"Full":true,"Changes":[{"Revision":8,"Config":{"Version":2}},{"Revision":9,"Out":"lukang"}]}`))
 	f.Add([]byte(`{"From":5,"To":8,"Changes":[{"Revision":8,"Patch":{"From":3,"To":4}}]}`))
 	f.Add([]byte(`{"From":0,"To":8,"Lapsed":true,"Changes":[null,{},{"Revision":18446744073709551615,"In":""}]}`))
+	f.Add([]byte(`{"From":5,"To":7,"Changes":[{"Revision":6,"Server":{"Id":"a","Service":"s","Address":"127.0.0.1:1","FailureDomain":"d","Slots":2,"Born":"9999-12-31T23:59:59Z"}}]}`))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var d Delta
 		if json.Unmarshal(b, &d) != nil {
@@ -30,6 +31,15 @@
 			t.Fatalf("configuration %v after version 3", s.Config())
 		}
 		s.View(epoch)
-		s.Since(Position{Revision: 4})
+		// What was accepted can be passed on.
+		for _, after := range []uint64{0, 4} {
+			sent, err := json.Marshal(s.Since(Position{Revision: after}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := json.Unmarshal(sent, new(Delta)); err != nil {
+				t.Fatal(err)
+			}
+		}
 	})
 }
--- a/gather/merge.go
+++ b/gather/merge.go
@@ -67,12 +67,15 @@
 // Suffices reports whether the greatest k records of the parts are known, although m holds only the greatest records
 // of some of them: no record that m lacks can be among the greatest k. The parts include the records of m that are kept.
 func (m Merged) Suffices(parts [][]byte, k int) bool {
-	if !m.Full {
+	if !m.Full || k <= 0 {
 		return true
 	}
 	top := TopK(parts, k)
-	last := len(m.Records) - RecordSize
-	return len(top) == k*RecordSize && (last < 0 || bytes.Compare(top[len(top)-RecordSize:], m.Records[last:]) >= 0)
+	if len(top)/RecordSize < k || len(m.Sources) == 0 {
+		return false
+	}
+	least := m.Records[(len(m.Sources)-1)*RecordSize:]
+	return bytes.Compare(top[len(top)-RecordSize:], least) >= 0
 }
 
 // record is a record as two numbers, which compare like its bytes, with the index of its part.
--- a/node/relay.go
+++ b/node/relay.go
@@ -81,7 +81,7 @@
 		return &Part{Body: p.Records, Seals: p.Seals}, true
 	}
 	m := gather.Merged{Records: p.Records, Sources: make([]int, len(p.Records)/gather.RecordSize), Full: p.Cut}
-	if len(p.Sources) != 2*len(m.Sources) {
+	if len(p.Records)%gather.RecordSize != 0 || len(p.Sources) != 2*len(m.Sources) {
 		return nil, false
 	}
 	for i := range m.Sources {
