--- /dev/null
+++ b/front/stop_test.go
@@ -0,0 +1,102 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutusthread/arbutusthread/fake"
+)
+
+const (
+	// stopCallers is the number of callers of each kind in the test of a planned stop.
+	stopCallers = 8
+	// callerPause is the time between two requests of a caller.
+	callerPause = 4 * time.Millisecond
+)
+
+// stopCaller sends requests to a node until no connection can be opened.
+type stopCaller struct {
+	// kept is set if the caller keeps its connection until it is asked to close it, pipelined if it sends two requests
+	// at once.
+	kept, pipelined bool
+	address         string
+	answered, lost  *atomic.Int64
+	lostAfter       *sync.Map
+}
+
+func (k *stopCaller) run(ctx context.Context, id int, stopped time.Time) {
+	for n := 0; ; {
+		c, err := new(net.Dialer).DialContext(ctx, "tcp", k.address)
+		if err != nil {
+			return
+		}
+		in := bufio.NewReader(c)
+		for last := false; !last; n++ {
+			request := fmt.Sprintf("GET /lookup/%d HTTP/1.1\r\nHost: ledger.example\r\nRequest-Id: r%d-%d\r\nRequest-Timeout: 1500\r\n\r\n", id, id, n)
+			if k.pipelined {
+				request += request
+			}
+			_, err := fmt.Fprint(c, request)
+			if err == nil {
+				_, last, err = readResponse(in)
+			}
+			// An answer that closes the connection says that a second request on it has not been read.
+			if err == nil && k.pipelined && !last {
+				_, last, err = readResponse(in)
+			}
+			if err != nil {
+				k.lost.Add(1)
+				k.lostAfter.Store(time.Since(stopped).Round(time.Millisecond), err.Error())
+				break
+			}
+			k.answered.Add(1)
+			last = last || !k.kept
+			time.Sleep(callerPause)
+		}
+		c.Close()
+	}
+}
+
+// Guards against requests that are cut off without an answer around a planned stop under load, on kept, fresh and
+// pipelined connections, up to the moment at which the node no longer accepts connections.
+func TestPlannedStopAnswersWhatWasAccepted(t *testing.T) {
+	is := is.New(t)
+	f, _ := newLedgerFixture(t, fake.RoutedConfig{Delay: 15 * time.Millisecond, Slots: 64})
+	n := f.nodes[0]
+	var answered, lost atomic.Int64
+	var lostAfter sync.Map
+	var group sync.WaitGroup
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	stopAt := time.Now().Add(300 * time.Millisecond)
+	for i := range 3 * stopCallers {
+		group.Go(func() {
+			k := stopCaller{
+				kept: i%3 > 0, pipelined: i%3 == 2, address: n.caller.String(),
+				answered: &answered, lost: &lost, lostAfter: &lostAfter,
+			}
+			k.run(ctx, i, stopAt)
+		})
+	}
+	time.Sleep(time.Until(stopAt))
+	n.stop()
+	group.Wait()
+	is.NoErr(<-n.stopped)
+	n.stopped <- nil
+	is.NoErr(ctx.Err())
+	lostAfter.Range(func(after, err any) bool {
+		t.Logf("request lost %v after the stop: %v", after, err)
+		return true
+	})
+	t.Logf("%d requests answered", answered.Load())
+	is.True(answered.Load() > 100)
+	is.Equal(lost.Load(), int64(0))
+}
