Skip odd entries of the VM list instead of the whole list

Cause: one entry with a port out of range or an unknown role kept the whole list from the nodes, so that they learned of no new VM. The list serves to find members and to forget those that are down for a minute, so an entry less does no harm.

Change: decodeVMs skips invalid entries; they are counted as incomplete lists, with the first error. Nesting deeper than 10,000 levels still invalidates the list, since the JSON package reads no such document.

--- a/plat/client.go
+++ b/plat/client.go
@@ -78,6 +78,8 @@
 	Documents uint64
 	Unchanged uint64
 	VMLists   uint64
+	// IncompleteVMLists counts the VM lists with entries that were skipped because they are invalid.
+	IncompleteVMLists uint64
 	// Failures counts the failed reads, FailuresInRow those since the last successful one.
 	Failures      uint64
 	FailuresInRow int
@@ -187,7 +189,7 @@
 }
 
 // VMs sends one request for the VMs of the failure domain, or for all VMs if domain is empty. The list lags behind
-// the actual state of the fleet.
+// the actual state of the fleet. Invalid entries are skipped and counted in Stats.
 func (c *Client) VMs(ctx context.Context, domain string) ([]wire.VM, error) {
 	const step = "read VM list"
 	q := url.Values{}
@@ -198,11 +200,17 @@
 	if err != nil {
 		return nil, err
 	}
-	vms, err := decodeVMs(raw)
+	vms, skipped, err := decodeVMs(raw)
 	if err != nil {
 		return nil, c.recordFailure(step, err)
 	}
-	c.recordSuccess(func(s *Stats) { s.VMLists++ })
+	c.recordSuccess(func(s *Stats) {
+		s.VMLists++
+		if skipped != nil {
+			s.IncompleteVMLists++
+			s.LastError = errors.Wrapf(skipped, "plat: %s at %s", step, c.base.Host)
+		}
+	})
 	return vms, nil
 }
 
--- a/plat/decode.go
+++ b/plat/decode.go
@@ -24,24 +24,33 @@
 	return nil
 }
 
-// decodeVMs decodes a VM list. An invalid entry, such as one with an unknown role or state, invalidates the whole
-// list, because omitted entries would be interpreted as lost VMs.
-func decodeVMs(raw []byte) ([]wire.VM, error) {
+// decodeVMs decodes a VM list and returns its valid entries, and the error of the first invalid one as skipped. An
+// invalid entry, such as one with an unknown role, names no VM. The list serves to find members and to forget those
+// that are down, so that an entry less does no harm, while a whole list less would keep new VMs unknown.
+func decodeVMs(raw []byte) (vms []wire.VM, skipped, err error) {
 	var list struct {
-		VMs *[]wire.VM `json:"Vms"`
+		VMs *[]json.RawMessage `json:"Vms"`
 	}
 	if err := json.Unmarshal(raw, &list); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "VM list"), ErrInvalid)
+		return nil, nil, errors.Mark(errors.Wrap(err, "VM list"), ErrInvalid)
 	}
 	if list.VMs == nil {
-		return nil, errors.Wrap(ErrInvalid, "VM list has no Vms")
+		return nil, nil, errors.Wrap(ErrInvalid, "VM list has no Vms")
 	}
-	for i, v := range *list.VMs {
-		if err := checkVM(v); err != nil {
-			return nil, errors.Wrapf(err, "VM list: entry %d", i)
+	vms = make([]wire.VM, 0, len(*list.VMs))
+	for i, entry := range *list.VMs {
+		var v wire.VM
+		err := json.Unmarshal(entry, &v)
+		if err == nil {
+			err = checkVM(v)
 		}
+		if err != nil {
+			skipped = errors.CombineErrors(skipped, errors.Mark(errors.Wrapf(err, "VM list: entry %d", i), ErrInvalid))
+			continue
+		}
+		vms = append(vms, v)
 	}
-	return *list.VMs, nil
+	return vms, skipped, nil
 }
 
 func checkVM(v wire.VM) error {
