--- /dev/null
+++ b/back/reply.go
@@ -0,0 +1,104 @@
+package back
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+)
+
+// readReply reads one answer and reports whether the connection can be reused. The limit is the largest
+// body size in bytes. A large body must also fit in the memory for all answers. The error is a *readError.
+func (c *conn) readReply(method string, limit int, memory *answerMemory) (*Reply, bool, error) {
+	c.readBudget = maxHeaderBytes + readBufferBytes
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, false, &readError{err: err, beforeAnswer: true}
+	}
+	v, err := readFinalResponse(c, method)
+	if err != nil {
+		return nil, false, &readError{err: err}
+	}
+	defer v.Body.Close()
+	if v.ContentLength > int64(limit) {
+		return nil, false, &readError{err: errTooLarge, inBody: true}
+	}
+	c.readBudget += limit
+	body, err := readBody(v, limit, memory)
+	if err != nil {
+		return nil, false, &readError{err: err, inBody: true}
+	}
+	c.idleTimeout = parseIdleTimeout(v.Header)
+	reusable := !v.Close && c.reader.Buffered() == 0
+	return &Reply{Status: v.StatusCode, Header: v.Header, Body: body}, reusable, nil
+}
+
+// readFinalResponse reads the status line and headers of the final response. It skips interim responses
+// with a status below 200, except 101.
+func readFinalResponse(c *conn, method string) (*http.Response, error) {
+	for {
+		v, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if v.StatusCode >= http.StatusOK || v.StatusCode == http.StatusSwitchingProtocols {
+			return v, nil
+		}
+	}
+}
+
+// answerMemory counts the bytes that are reserved for large answers that are being read.
+type answerMemory struct{ reserved atomic.Int64 }
+
+const (
+	// smallAnswerBytes is the size up to which an answer needs no reservation.
+	smallAnswerBytes = 64 << 10
+	// maxAnswerMemory is the maximum size of all reservations of a client. Servers that send bytes without end must not
+	// exhaust the memory of a small node, whatever their number.
+	maxAnswerMemory = 24 << 20
+)
+
+// reserve adds bytes to the reservation. It returns errTooLarge if the memory for answers is in use.
+func (m *answerMemory) reserve(n int) error {
+	if m.reserved.Add(int64(n)) > maxAnswerMemory {
+		m.reserved.Add(-int64(n))
+		return errTooLarge
+	}
+	return nil
+}
+
+// readBody reads a body. It reserves memory as the body grows, not for the length that the server claims.
+func readBody(v *http.Response, limit int, memory *answerMemory) ([]byte, error) {
+	if v.ContentLength >= 0 && v.ContentLength <= smallAnswerBytes {
+		body := make([]byte, v.ContentLength)
+		_, err := io.ReadFull(v.Body, body)
+		return body, err
+	}
+	reserved := 0
+	defer func() { memory.reserved.Add(-int64(reserved)) }()
+	body := make([]byte, 0, bytes.MinRead)
+	for {
+		n, err := v.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		case len(body) > limit:
+			return nil, errTooLarge
+		case len(body) < cap(body):
+			continue
+		}
+		grown := 2 * cap(body)
+		if grown > smallAnswerBytes {
+			// The old and the new buffer are in use while the body is copied.
+			if err := memory.reserve(grown); err != nil {
+				return nil, err
+			}
+			reserved += grown
+		}
+		body = append(make([]byte, 0, grown), body...)
+	}
+}
--- a/gather/relay.go
+++ b/gather/relay.go
@@ -162,14 +162,19 @@
 // server.
 const relayTolerance = 1.5
 
-// sendRelay sends the tasks of the group through a relay that is expected to have sent them to servers after the time.
-func (e *Engine) sendRelay(now time.Time, j *job, n *relayNode, group []*task, sendTime time.Duration, p Purpose, act *Actions) {
+// sendRelay sends the tasks of the group through a relay, which is expected to have sent the last one to its server
+// after the given time.
+func (e *Engine) sendRelay(
+	now time.Time, j *job, n *relayNode, group []*task, after time.Duration, p Purpose, act *Actions,
+) {
 	e.lastRelay++
 	r := &relayCall{id: e.lastRelay, job: j, node: n, attempts: make(map[int]*attempt, len(group))}
-	_, hedgeAt := e.hedgeTimes(now.Add(sendTime), j)
+	_, hedgeAt := e.hedgeTimes(now.Add(after), j)
 	e.relayCalls[r.id] = r
 	j.scheduleChanged = true
-	s := RelaySend{Relay: r.id, Job: j.id, Address: n.Address, Deadline: j.Deadline, ReplyAt: e.replyAt(now.Add(sendTime), j, p)}
+	s := RelaySend{
+		Relay: r.id, Job: j.id, Address: n.Address, Deadline: j.Deadline, ReplyAt: e.replyAt(now.Add(after), j, p),
+	}
 	for _, t := range group {
 		a := &attempt{job: j, task: t, relay: r, domain: n.FailureDomain, purpose: p, sentAt: now, charged: !t.isUndelivered()}
 		t.attempts = append(t.attempts, a)
--- a/gather/spread.go
+++ b/gather/spread.go
@@ -199,7 +199,7 @@
 // rankShards is the number of shards for which relays are compared.
 const rankShards = 20
 
-// until returns the time left until the target of a job, and at least a part of the objective of its class.
+// untilTarget returns the time left until the target of a job, and at least half of the objective of its class.
 func (j *job) untilTarget(now time.Time) time.Duration {
 	if j.Target.IsZero() {
 		return j.class.target
