--- a/back/hostile_test.go
+++ b/back/hostile_test.go
@@ -223,3 +223,24 @@
 		}
 	}
 }
+
+// Guards against an answer of the largest size that does not fit in the memory for large answers.
+func TestLargestAnswerFitsInMemory(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	body := bytes.Repeat([]byte("0123456789abcdef"), defaultMaxAnswer/16)
+	for _, length := range []string{fmt.Sprintf("Content-Length: %d\r\n", len(body)), "Connection: close\r\n"} {
+		address := listen(t, serveRequests(func(_ int, _ *http.Request, c net.Conn) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n", length)
+			_, _ = c.Write(body)
+			return false
+		}))
+		k := NewClient(Config{})
+		k.SetServers([]Server{{Address: address}})
+		reply, r := k.Forward(context.Background(), address, deadlineIn(5*time.Second), newForward("r1"))
+		is.Equal(r.Outcome, OK)
+		is.True(bytes.Equal(reply.Body, body))
+		is.Equal(k.buffered.reserved.Load(), int64(0))
+		k.Close()
+	}
+}
--- a/back/reply.go
+++ b/back/reply.go
@@ -53,10 +53,10 @@
 
 const (
 	// smallAnswerBytes is the size up to which an answer needs no reservation.
-	smallAnswerBytes = 64 << 10
+	smallAnswerBytes = 16 << 10
 	// maxAnswerMemory is the maximum size of all reservations of a client. Servers that send bytes without end must not
 	// exhaust the memory of a small node, whatever their number.
-	maxAnswerMemory = 24 << 20
+	maxAnswerMemory = 12 << 20
 )
 
 // reserve adds bytes to the reservation. It returns errTooLarge if the memory for answers is in use.
@@ -91,14 +91,17 @@
 		case len(body) < cap(body):
 			continue
 		}
-		grown := 2 * cap(body)
+		grown := min(2*cap(body), limit+1)
+		// The old and the new buffer are in use while the body is copied.
+		freed := reserved
 		if grown > smallAnswerBytes {
-			// The old and the new buffer are in use while the body is copied.
 			if err := memory.reserve(grown); err != nil {
 				return nil, err
 			}
 			reserved += grown
 		}
 		body = append(make([]byte, 0, grown), body...)
+		memory.reserved.Add(-int64(freed))
+		reserved -= freed
 	}
 }
