--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,4 +5,4 @@
 	echo "build the deploy file and run review/build.sh first"
 	exit 2
 fi
-exec review/bin/relay review/1/record.txt
+exec review/bin/relay "${RECORD:-review/1/record.txt}"
--- a/review/testdata/relay/main.go
+++ b/review/testdata/relay/main.go
@@ -67,11 +67,10 @@
 	}
 	defer f.Close()
 	ledger := stand.NewLedger()
-	var leaving []func()
-	var leavingIDs []string
+	var leaving []*stand.Server
 	for i := range shards {
 		for k, zone := range []string{"port-louis", "curepipe"} {
-			s, end, err := f.AddServer(stand.ServerConfig{
+			s, err := f.AddServer(stand.ServerConfig{
 				ID: fmt.Sprintf("i-%02d-%d", i, k), Service: shardName(i), Zone: zone, Slots: 4, Queue: 40, Records: 60, Ledger: ledger,
 				Work: func() time.Duration { return time.Duration(5+rand.IntN(12)) * time.Millisecond },
 			})
@@ -79,13 +78,12 @@
 				return 2, err
 			}
 			if i == shards-1 {
-				leaving = append(leaving, end, func() { time.AfterFunc(drainTime, s.Close) })
-				leavingIDs = append(leavingIDs, s.ID)
+				leaving = append(leaving, s)
 			}
 		}
 	}
 	for i := range 6 {
-		if _, _, err := f.AddServer(stand.ServerConfig{
+		if _, err := f.AddServer(stand.ServerConfig{
 			ID: fmt.Sprintf("i-b-%d", i), Service: "billing-office", Zone: []string{"port-louis", "curepipe", "mahebourg"}[i%3], Slots: 16, Queue: 40,
 			Ledger: ledger, Work: func() time.Duration { return time.Duration(60+rand.IntN(120)) * time.Millisecond },
 		}); err != nil {
@@ -175,11 +173,9 @@
 	f.Store.Put("op/config", configuration(5, shards-1))
 	record.Logf("configuration 5 without %s acknowledged", shardName(shards-1))
 	time.Sleep(leaveDelay)
-	for _, end := range leaving {
-		end()
-	}
-	for _, id := range leavingIDs {
-		f.Store.Delete("servers/" + id)
+	for _, s := range leaving {
+		f.Store.Delete("servers/" + s.ID)
+		time.AfterFunc(drainTime, s.Close)
 	}
 	record.Logf("the servers of %s have left the list", shardName(shards-1))
 	time.Sleep(time.Until(wake.Add(-seldomLead)))
--- a/review/testdata/stand/fleet.go
+++ b/review/testdata/stand/fleet.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -20,9 +21,10 @@
 	Nodes   []*Node
 	Servers []*Server
 	Record  *Record
+	mu      sync.Mutex
 	folder  string
-	cancel  context.CancelFunc
 	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 // Route is a route of the operator's configuration.
@@ -52,11 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st, err := NewStore("127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	f := &Fleet{Store: st, Record: record, folder: folder}
+	f := &Fleet{Store: NewStore(), Record: record, folder: folder}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	go f.guard()
 	return f, nil
@@ -118,26 +116,75 @@
 	os.Exit(code)
 }
 
-// beatInterval is the interval at which servers write their entries.
-const beatInterval = 1200 * time.Millisecond
+// AddServer starts a server and registers it. Its entry stays as it is, since it changes only when more than the
+// sequence changes.
+func (f *Fleet) AddServer(c ServerConfig) (*Server, error) {
+	s, err := NewServer("127.0.0.1:0", c)
+	if err != nil {
+		return nil, err
+	}
+	f.Servers = append(f.Servers, s)
+	f.Store.Put("servers/"+s.ID, s.Entry())
+	return s, nil
+}
+
+// lapseTime is the time after which the entry of a server that is silent is removed.
+const lapseTime = 3600 * time.Millisecond
 
-// AddServer starts a server and registers it. The returned function ends its writes to the store.
-func (f *Fleet) AddServer(c ServerConfig) (*Server, context.CancelFunc, error) {
-	s, err := NewServer("127.0.0.1", c)
+// AddCrashingServer starts a server that starts again at its address, with a new ID, backAfter after each crash.
+func (f *Fleet) AddCrashingServer(c ServerConfig, backAfter time.Duration, onCrash func(id string)) error {
+	return f.startCrashing("127.0.0.1:0", c, 1, backAfter, onCrash)
+}
+
+func (f *Fleet) startCrashing(address string, c ServerConfig, boot int, backAfter time.Duration, onCrash func(id string)) error {
+	name := c.ID
+	c.ID = fmt.Sprintf("%s-%d", name, boot)
+	s, err := NewServer(address, c)
 	if err != nil {
-		return nil, nil, err
+		return err
 	}
+	s.mu.Lock()
+	s.crashed = func() {
+		onCrash(c.ID)
+		time.AfterFunc(lapseTime, func() { f.Store.Delete("servers/" + c.ID) })
+		time.AfterFunc(backAfter, func() {
+			if f.ctx.Err() != nil {
+				return
+			}
+			next := c
+			next.ID = name
+			if err := f.startCrashing(s.listener.Addr().String(), next, boot+1, backAfter, onCrash); err != nil {
+				f.Record.Sayf("%s cannot start again: %v", c.ID, err)
+			}
+		})
+	}
+	s.mu.Unlock()
+	f.mu.Lock()
 	f.Servers = append(f.Servers, s)
+	f.mu.Unlock()
 	f.Store.Put("servers/"+s.ID, s.Entry())
-	ctx, cancel := context.WithCancel(f.ctx)
-	go func() {
-		select {
-		case <-ctx.Done():
-		case <-time.After(beatInterval):
-			s.Beat(ctx, f.Store, beatInterval)
-		}
-	}()
-	return s, cancel, nil
+	return nil
+}
+
+// Restart stops a node by SIGTERM, by SIGKILL after grace, and starts it again.
+func (f *Fleet) Restart(i int, grace time.Duration) error {
+	n := f.Nodes[i]
+	n.Signal(syscall.SIGTERM)
+	select {
+	case <-n.done:
+	case <-time.After(grace):
+	}
+	n.Kill()
+	c := n.NodeConfig
+	c.FirstStart = false
+	next, err := StartNode(c)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.Nodes[i] = next
+	f.mu.Unlock()
+	return nil
 }
 
 // StartNodes starts a node at each place, and waits until all are ready.
@@ -160,9 +207,13 @@
 		return err
 	}
 	for _, p := range places {
+		door, err := f.Store.Open()
+		if err != nil {
+			return err
+		}
 		n, err := StartNode(NodeConfig{
 			Name: "front-" + p.Zone + "-" + p.IP[strings.LastIndexByte(p.IP, '.')+1:], IP: p.IP, Zone: p.Zone, Region: "mu-island", Ports: ports,
-			Seeds: seeds, Store: f.Store.Address(), FirstStart: true, Program: program, Folder: f.folder,
+			Seeds: seeds, Store: door, FirstStart: true, Program: program, Folder: f.folder,
 		})
 		if err != nil {
 			return err
@@ -186,6 +237,8 @@
 // Close ends all processes and servers and removes the temporary folder.
 func (f *Fleet) Close() {
 	f.cancel()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, n := range f.Nodes {
 		n.Kill()
 	}
--- a/review/testdata/stand/node.go
+++ b/review/testdata/stand/node.go
@@ -54,7 +54,7 @@
 	Name, IP, Zone, Region string
 	Ports                  Ports
 	Seeds                  []string
-	Store                  string
+	Store                  *Door
 	FirstStart             bool
 	// Program is the program of the deploy file, and Folder a temporary folder for settings and logs.
 	Program, Folder string
@@ -82,7 +82,7 @@
 		"Name": c.Name, "FailureDomain": c.Zone, "Region": c.Region,
 		"CallerAddress": at(c.Ports.Front), "PeerAddress": at(c.Ports.Peer), "OpsAddress": at(c.Ports.Control),
 		"DirectoryAddress": at(c.Ports.Directory), "ReadyAddress": at(c.Ports.Ready),
-		"Platform": "http://" + c.Store, "PlatformForm": "Store",
+		"Platform": "http://" + c.Store.Address, "PlatformForm": "Store",
 		"FleetKeys":  []string{"6172627574757374687265616420666c656574206b6579206f66207468652064"},
 		"Seeds":      seeds,
 		"FirstStart": c.FirstStart,
@@ -147,7 +147,7 @@
 	_ = n.log.Close()
 }
 
-// MemoryMB returns the resident memory of the process in units of 1,000,000 bytes, 0 if it is not known.
+// MemoryMB returns the resident memory of the process in units of 1,048,576 bytes, 0 if it is not known.
 func (n *Node) MemoryMB() float64 {
 	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.Pid()))
 	if err != nil {
@@ -156,7 +156,7 @@
 	for _, line := range strings.Split(string(b), "\n") {
 		var kb float64
 		if _, err := fmt.Sscanf(line, "VmRSS: %f kB", &kb); err == nil {
-			return kb * 1024 / 1e6
+			return kb / 1024
 		}
 	}
 	return 0
--- a/review/testdata/stand/server.go
+++ b/review/testdata/stand/server.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -57,6 +56,8 @@
 	// Extra, if set, decides whether a second copy of an answer is sent late: when the next request arrives on the
 	// connection, before the answer to that request.
 	Extra func(status int) bool
+	// Crashes, if set, reports whether a request with the path crashes the server when it begins to run.
+	Crashes func(path string) bool
 	// OnExtra is called when a second copy is sent.
 	OnExtra func(id string, status int, next string)
 }
@@ -75,11 +76,13 @@
 	// Rejected counts the requests that were rejected because the server was full.
 	Rejected atomic.Int64
 	state    atomic.Value
+	// crashed is called once when a request has crashed the server.
+	crashed func()
 }
 
-// NewServer starts a server at the IP address, on a free port.
-func NewServer(ip string, c ServerConfig) (*Server, error) {
-	l, err := net.Listen("tcp", ip+":0")
+// NewServer starts a server at the address.
+func NewServer(address string, c ServerConfig) (*Server, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -97,21 +100,13 @@
 	}
 }
 
-// Beat writes the entry of the server to the store each interval until ctx ends.
-func (s *Server) Beat(ctx context.Context, st *Store, interval time.Duration) {
-	for {
-		st.Put("servers/"+s.ID, s.Entry())
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(interval):
-		}
-	}
-}
-
 // Close ends the server.
 func (s *Server) Close() {
 	s.closed.Store(true)
+	s.close()
+}
+
+func (s *Server) close() {
 	_ = s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,6 +123,9 @@
 		}
 		s.mu.Lock()
 		s.conns[c] = true
+		if s.closed.Load() {
+			_ = c.Close()
+		}
 		s.mu.Unlock()
 		go s.serve(c)
 	}
@@ -237,6 +235,15 @@
 	}
 	defer func() { <-s.slots }()
 	s.Ledger.ran(id, s.ID)
+	if s.Crashes != nil && s.Crashes(r.URL.Path) {
+		if !s.closed.Swap(true) {
+			s.close()
+			if s.crashed != nil {
+				s.crashed()
+			}
+		}
+		return 0, nil, nil, false
+	}
 	work := time.NewTimer(s.Work())
 	defer work.Stop()
 	select {
--- a/review/testdata/stand/store.go
+++ b/review/testdata/stand/store.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,37 +37,55 @@
 	events   []event
 	dropped  uint64
 	changed  chan struct{}
-	listener net.Listener
-	http     *http.Server
+	doors    []*Door
 }
 
+// Door is an address of the store. Each node has its own, so that the store can turn single machines away.
+type Door struct {
+	Address string
+	// Silent makes the store take the calls of the machine and not answer them.
+	Silent  atomic.Bool
+	watches atomic.Int64
+	http    *http.Server
+}
+
+// Watches returns the number of watches that were called at the door.
+func (d *Door) Watches() int64 { return d.watches.Load() }
+
 const (
 	historyTime = 20 * time.Second
 	pageItems   = 500
 	pageBytes   = 1 << 20
 )
 
-// NewStore starts a store at the address.
-func NewStore(address string) (*Store, error) {
-	l, err := net.Listen("tcp", address)
+// NewStore returns a store without entries.
+func NewStore() *Store {
+	return &Store{revision: 100, dropped: 100, items: make(map[string]Item), changed: make(chan struct{})}
+}
+
+// Open opens an address of the store.
+func (s *Store) Open() (*Door, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{revision: 100, dropped: 100, items: make(map[string]Item), changed: make(chan struct{}), listener: l}
+	d := &Door{Address: l.Addr().String()}
 	m := http.NewServeMux()
-	m.HandleFunc("GET /v1/kv-key", s.key)
-	m.HandleFunc("GET /v1/kv-range", s.list)
-	m.HandleFunc("GET /v1/kv-watch", s.watch)
-	s.http = &http.Server{Handler: m}
-	go func() { _ = s.http.Serve(l) }()
-	return s, nil
+	m.HandleFunc("GET /v1/kv-key", func(w http.ResponseWriter, r *http.Request) { s.key(d, w, r) })
+	m.HandleFunc("GET /v1/kv-range", func(w http.ResponseWriter, r *http.Request) { s.list(d, w, r) })
+	m.HandleFunc("GET /v1/kv-watch", func(w http.ResponseWriter, r *http.Request) { s.watch(d, w, r) })
+	d.http = &http.Server{Handler: m}
+	s.doors = append(s.doors, d)
+	go func() { _ = d.http.Serve(l) }()
+	return d, nil
 }
 
-// Address returns the address of the store.
-func (s *Store) Address() string { return s.listener.Addr().String() }
-
 // Close ends the store.
-func (s *Store) Close() { _ = s.http.Close() }
+func (s *Store) Close() {
+	for _, d := range s.doors {
+		_ = d.http.Close()
+	}
+}
 
 // Put writes an entry and returns the time of its acknowledgement.
 func (s *Store) Put(key string, value any) time.Time {
@@ -101,17 +120,28 @@
 func (s *Store) add(it Item) {
 	now := time.Now()
 	s.events = append(s.events, event{it, now})
+	s.dropOld(now)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// dropOld drops the history that is older than historyTime.
+func (s *Store) dropOld(now time.Time) {
 	n := 0
 	for n < len(s.events) && now.Sub(s.events[n].at) > historyTime {
 		s.dropped = s.events[n].Revision
 		n++
 	}
-	s.events = append(s.events[:0:0], s.events[n:]...)
-	close(s.changed)
-	s.changed = make(chan struct{})
+	if n > 0 {
+		s.events = append(s.events[:0:0], s.events[n:]...)
+	}
 }
 
-func reply(w http.ResponseWriter, status int, v any) {
+func (d *Door) reply(w http.ResponseWriter, r *http.Request, status int, v any) {
+	if d.Silent.Load() {
+		<-r.Context().Done()
+		return
+	}
 	b, err := json.Marshal(v)
 	if err != nil {
 		panic(err)
@@ -122,18 +152,18 @@
 	_, _ = w.Write(b)
 }
 
-func (s *Store) key(w http.ResponseWriter, r *http.Request) {
+func (s *Store) key(d *Door, w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	it, ok := s.items[r.FormValue("key")]
 	s.mu.Unlock()
 	if !ok {
-		w.WriteHeader(http.StatusNotFound)
+		d.reply(w, r, http.StatusNotFound, nil)
 		return
 	}
-	reply(w, http.StatusOK, it)
+	d.reply(w, r, http.StatusOK, it)
 }
 
-func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+func (s *Store) list(d *Door, w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.FormValue("prefix"), r.FormValue("after")
 	s.mu.Lock()
 	var keys []string
@@ -154,10 +184,11 @@
 	}
 	asOf := s.revision
 	s.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"items": items, "has-more": more, "as-of": asOf})
+	d.reply(w, r, http.StatusOK, map[string]any{"items": items, "has-more": more, "as-of": asOf})
 }
 
-func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+func (s *Store) watch(d *Door, w http.ResponseWriter, r *http.Request) {
+	d.watches.Add(1)
 	prefix := r.FormValue("prefix")
 	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
 	wait, _ := strconv.Atoi(r.FormValue("wait-ms"))
@@ -165,9 +196,10 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
+		s.dropOld(time.Now())
 		if after < s.dropped {
 			s.mu.Unlock()
-			w.WriteHeader(http.StatusGone)
+			d.reply(w, r, http.StatusGone, nil)
 			return
 		}
 		events := []Item{}
@@ -179,13 +211,13 @@
 		asOf, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
-			reply(w, http.StatusOK, map[string]any{"events": events, "as-of": asOf})
+			d.reply(w, r, http.StatusOK, map[string]any{"events": events, "as-of": asOf})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			reply(w, http.StatusOK, map[string]any{"events": events, "as-of": asOf})
+			d.reply(w, r, http.StatusOK, map[string]any{"events": events, "as-of": asOf})
 			return
 		case <-r.Context().Done():
 			return
