--- a/review/testdata/late/main.go
+++ b/review/testdata/late/main.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	host    = "invoices.example"
-	path    = "/invoice/pay"
-	callers = 18
+	host = "invoices.example"
+	// services of two servers each get unsafe requests, from callersByService callers each.
+	services         = 3
+	callersByService = 18
 	// windows is the number of times that the disruption comes. Each time it holds for windowTime.
 	windows    = 9
 	windowTime = 5 * time.Second
@@ -33,6 +34,8 @@
 	answer stand.Answer
 }
 
+func serviceName(i int) string { return fmt.Sprintf("billing-%d", i) }
+
 func run(record *stand.Record, trouble bool) (int, error) {
 	f, err := stand.NewFleet(record)
 	if err != nil {
@@ -43,12 +46,13 @@
 	var garbling atomic.Bool
 	var extras, rejectedExtras, sameID atomic.Int64
 	work := func() time.Duration { return time.Duration(40+rand.IntN(100)) * time.Millisecond }
-	for i, zone := range []string{"port-louis", "curepipe"} {
+	for i := range 2 * services {
+		service, zone := serviceName(i/2), []string{"port-louis", "curepipe"}[i%2]
 		c := stand.ServerConfig{
-			ID: fmt.Sprintf("i-%d", i), Service: "billing", Zone: zone, Slots: 2, Queue: 2, Work: work, Ledger: ledger,
+			ID: fmt.Sprintf("i-%d", i), Service: service, Zone: zone, Slots: 2, Queue: 2, Work: work, Ledger: ledger,
 		}
-		if i == 0 {
-			// One of the two servers sends second copies: a share of 0.5.
+		if i%2 == 0 {
+			// One of the two servers of a service sends second copies: a share of 0.5.
 			var answers, copies int
 			var mu sync.Mutex
 			c.Extra = func(status int) bool {
@@ -80,10 +84,16 @@
 			return 2, err
 		}
 	}
-	f.Store.Put("op/config", stand.Configuration(2, []stand.Route{{
-		"name": "r-pay", "host": host, "prefix": "/invoice/", "route-type": "unsafe", "timeout-ms": 6000,
-		"target-latency-ms": 400, "priority": 2, "service": "billing", "max-attempts": 2,
-	}}, []map[string]any{stand.Service("billing", 26)}))
+	var routes []stand.Route
+	var configured []map[string]any
+	for i := range services {
+		routes = append(routes, stand.Route{
+			"name": "r-" + serviceName(i), "host": host, "prefix": "/" + serviceName(i) + "/", "route-type": "unsafe", "timeout-ms": 6000,
+			"target-latency-ms": 400, "priority": 2, "service": serviceName(i), "max-attempts": 2,
+		})
+		configured = append(configured, stand.Service(serviceName(i), 26))
+	}
+	f.Store.Put("op/config", stand.Configuration(2, routes, configured))
 	places := stand.Places([]string{"port-louis", "curepipe", "mahebourg"}, []int{4, 3, 2})
 	if err := f.StartNodes("target/arbutusthread", places); err != nil {
 		return 2, err
@@ -94,9 +104,9 @@
 	var all []request
 	stop := make(chan struct{})
 	var group sync.WaitGroup
-	for i := range callers {
+	for i := range services * callersByService {
 		group.Go(func() {
-			c := stand.Caller{Address: f.Nodes[i%len(f.Nodes)].Front(), Host: host}
+			c := stand.Caller{Address: f.Nodes[i/services%len(f.Nodes)].Front(), Host: host}
 			defer c.Close()
 			for {
 				select {
@@ -105,7 +115,7 @@
 				case <-time.After(time.Duration(rand.IntN(40)) * time.Millisecond):
 				}
 				q := request{id: stand.NewID()}
-				q.answer = c.Do("POST", path, q.id, []byte("invoice 7"), deadline)
+				q.answer = c.Do("POST", "/"+serviceName(i%services)+"/pay", q.id, []byte("invoice 7"), deadline)
 				mu.Lock()
 				all = append(all, q)
 				mu.Unlock()
