Keep a relay running when a query names a service that it does not know

Cause: Engine.Submit left the pool of a task nil when its service was unknown, and task.describe read its name when the request ended with that shard missing. A node with an older configuration sends such queries to its relays. The panic was in a goroutine of an attempt, outside of the borders that contain panics. Ruled out: the decoding of the query, which the relay accepts.

Change: a task of an unknown service gets an empty pool of that name. All paths that use the pool of a task now find one, so the fix doesn't depend on which of them runs.

--- a/gather/job.go
+++ b/gather/job.go
@@ -78,7 +78,7 @@
 	tasks := make([]*task, 0, len(j.tasks))
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		t.job, t.index, t.pool = j, i, e.pools[r.Pools[i]]
+		t.job, t.index, t.pool = j, i, e.poolOf(r.Pools[i])
 		if !t.pool.hasServers() {
 			j.failTask(t, "no server of "+r.Pools[i]+" is listed", &act)
 			continue
@@ -95,6 +95,15 @@
 	return j.id, act
 }
 
+// poolOf returns the pool with this name, or an empty one if it is not known, as at a relay whose configuration differs
+// from that of the requesting node.
+func (e *Engine) poolOf(name string) *pool {
+	if p := e.pools[name]; p != nil {
+		return p
+	}
+	return &pool{name: name}
+}
+
 // retryAfter is the time after which the caller may retry a request that could not be served. It equals the time after
 // which an ejected server is tried again.
 const retryAfter = minEjection
--- a/gather/relay_test.go
+++ b/gather/relay_test.go
@@ -144,3 +144,40 @@
 	_, act = f.submitRelayable()
 	is.Equal(len(act.Relays), 0)
 }
+
+// Guards against a relay that ends with a panic because a requesting node with an older configuration names a service
+// that the relay does not know: the other shards are answered, and the unknown one is reported as failed.
+func TestRelayedRequestNamesAnUnknownPool(t *testing.T) {
+	t.Parallel()
+	for _, unknown := range []int{0, 1} {
+		is := is.New(t)
+		f := newFixture()
+		pools := []string{"a", "a"}
+		pools[unknown] = "dropped"
+		r := Request{Class: "r", Pools: pools, Idempotent: true, Relayed: true, MaxAttempts: 1, Deadline: f.now.Add(time.Second)}
+		act := f.submit(r)
+		is.Equal(act.FailedTasks, []int{unknown})
+		is.Equal(servers(act.Sends), "[primary:a-near]")
+		end := f.done(act.Sends[0], OK)
+		is.Equal(end.Finished.End, Partial)
+		is.Equal(end.Finished.Answered, 1)
+		is.Equal(end.Finished.Missing, []string{"dropped"})
+	}
+}
+
+// Guards against the same panic when the request expires or is abandoned while one of its services is unknown.
+func TestRequestWithAnUnknownPoolEnds(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture()
+	r := f.request("a", "dropped")
+	id, act := f.Submit(f.now, r)
+	is.Equal(act.FailedTasks, []int{1})
+	f.now = r.Deadline
+	is.Equal(f.Tick(f.now, id).Finished.End, Expired)
+
+	r = f.request("a", "dropped")
+	_, act = f.Submit(f.now, r)
+	f.Abandon(act.Sends[0].Job)
+	is.Equal(f.Load(f.now).Requests, 0)
+}
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -20,8 +20,8 @@
 )
 
 // Guards against a relay that reports a shard as not sent although a server has refused it: the requesting node would
-// not count the arrival in its retry budget. Guards also against misreported answers, failures and shards without a
-// server.
+// not count the arrival in its retry budget. Guards also against misreported answers, failures, shards without a
+// server and shards of a service that the relay does not know.
 func TestRelayReportsShardOutcomes(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -47,7 +47,7 @@
 
 	var all wire.GatherPart
 	q := &wire.GatherQuery{
-		RequestID: "r1", Pools: []string{"answers", "refuses", "breaks", "elsewhere"}, Class: "r", TopK: 3,
+		RequestID: "r1", Pools: []string{"answers", "refuses", "breaks", "elsewhere", "dropped"}, Class: "r", TopK: 3,
 		ReplyIn: 500, Timeout: 1000, Method: http.MethodGet, URI: "/x", Host: "h",
 	}
 	err := m.serveRelay(context.Background(), q, func(p wire.GatherPart) error {
@@ -63,7 +63,7 @@
 	is.Equal(all.Answered, []int{0})
 	is.Equal(all.Refused, []int{1})
 	is.Equal(all.Failed, []int{2})
-	is.Equal(all.Declined, []int{3})
+	is.Equal(slices.Sorted(slices.Values(all.Declined)), []int{3, 4})
 	is.Equal(all.Seals, []string{fake.RoutedSeal("answers", "r1")})
 	is.True(slices.Equal(all.Records, gather.TopK([][]byte{fake.RoutedBody("answers", "/x", 8)}, 3)))
 }
