Never take the late copy of a rejection for the answer to the next send

Cause: a server may send a second copy of an answer where the next one is expected. After a rejection the connection went back to the pool and the same request could be sent on it again, where the copy has the right ID. Ruled out: copies for other requests, whose IDs differ.

Change: a connection keeps the IDs that its server has rejected on it and doesn't carry these requests again. The pool picks another idle connection, or closes an idle one when the limit leaves no room for a new one. A connection is closed after 32 rejections. Orders and queries of serve use the same pool and are covered.

--- a/back/cancel.go
+++ b/back/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,7 +18,7 @@
 // each hedge that loses would otherwise cost a new connection. If there is none, it closes the
 // connection, which also cancels the request.
 func (k *Client) cancel(p *pool, c *conn, q request) {
-	v := p.acquireIdle()
+	v := p.acquireIdle(q.id)
 	if v == nil {
 		c.shutdown(k.config.CancelTimeout)
 		p.release()
@@ -47,7 +48,12 @@
 		p.retire(c)
 		return
 	}
-	if _, reusable, err := c.readAnswer(s, k.config.MaxAnswer); err != nil || !reusable {
+	status, reusable, err := c.readAnswer(s, k.config.MaxAnswer)
+	if err == nil && status != http.StatusOK {
+		// The answer is not decoded, and may be a rejection.
+		reusable = c.recordRejection(q.id) && reusable
+	}
+	if err != nil || !reusable {
 		p.retire(c)
 		return
 	}
--- a/back/conn.go
+++ b/back/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -46,6 +47,9 @@
 	answers  int
 	// echoesID is set once an answer bore the ID of its request. An answer without one is then for another request.
 	echoesID bool
+	// rejected holds the IDs of the requests that the server has rejected on the connection. None of them is sent on it
+	// again, because a late copy of the rejection would be taken for the answer.
+	rejected []string
 	// wasIdle is set once the connection has been idle in the pool, where the server may have closed it.
 	wasIdle bool
 	isTLS   bool
@@ -97,6 +101,19 @@
 // fresh reports whether the connection has neither been idle nor returned an answer.
 func (c *conn) fresh() bool { return c.answers == 0 && !c.wasIdle }
 
+// maxRejected is the number of rejections after which a connection is no longer used. It bounds the memory for their IDs.
+const maxRejected = 32
+
+// mayCarry reports whether the request with this ID may be sent on the connection.
+func (c *conn) mayCarry(id string) bool { return !slices.Contains(c.rejected, id) }
+
+// recordRejection records that the server may have rejected the request with this ID on the connection. It reports
+// whether the connection may be used for other requests.
+func (c *conn) recordRejection(id string) bool {
+	c.rejected = append(c.rejected, id)
+	return len(c.rejected) < maxRejected
+}
+
 // expired reports whether the connection has been idle for the lifetime or for the server's idle
 // timeout.
 func (c *conn) expired(now time.Time, lifetime time.Duration) bool {
--- a/back/exchange.go
+++ b/back/exchange.go
@@ -116,7 +116,7 @@
 		return r
 	}
 	for {
-		c, err := p.acquire(ctx, deadline, q.order)
+		c, err := p.acquire(ctx, deadline, q.id, q.order)
 		r.ConnectionWait = time.Since(start)
 		if err != nil {
 			r.Refused = isRefused(err)
@@ -165,6 +165,9 @@
 	if err == nil {
 		c.answers++
 		k.classify(status, s, r)
+		if r.Outcome == NotRun {
+			reusable = c.recordRejection(s.sent.id) && reusable
+		}
 		// After an answer to another request, each later answer on the connection may belong to the
 		// request before it, and a refusal would be attributed to the wrong order.
 		if reusable && stopped && r.Outcome != Invalid {
--- a/back/forward.go
+++ b/back/forward.go
@@ -69,7 +69,7 @@
 		return nil, r
 	}
 	for {
-		c, err := p.acquire(ctx, deadline.Add(answerGrace), f.NonIdempotent)
+		c, err := p.acquire(ctx, deadline.Add(answerGrace), f.RequestID, f.NonIdempotent)
 		r.ConnectionWait = time.Since(start)
 		if err != nil {
 			p.failAcquire(err, &r)
@@ -99,7 +99,7 @@
 		r.fail(Unsent, errRemoved.Error())
 		return r
 	}
-	c, err := p.acquire(ctx, deadline, true)
+	c, err := p.acquire(ctx, deadline, "", true)
 	if err != nil {
 		p.failAcquire(err, &r)
 		return r
@@ -143,6 +143,9 @@
 	if err == nil {
 		k.classifyReply(c, f, reply, r)
 		c.answers++
+		if r.Outcome == NotRun {
+			reusable = c.recordRejection(f.RequestID) && reusable
+		}
 	} else {
 		k.classifyForwardError(ctx, c, p, begin, err, r)
 	}
--- a/back/pool.go
+++ b/back/pool.go
@@ -22,7 +22,11 @@
 	err  error
 }
 
-type waiter chan grant
+// waiter waits for a connection for the request with the given ID.
+type waiter struct {
+	id      string
+	granted chan grant
+}
 
 // pool holds the connections of one server. The field open counts every connection from before its
 // dial until the server has closed it.
@@ -37,7 +41,7 @@
 	open        int
 	dialing     int
 	idle        []*conn
-	waiters     []waiter
+	waiters     []*waiter
 	incarnation string
 }
 
@@ -66,7 +70,7 @@
 	p.removed = true
 	p.retireIdleLocked(func(*conn) bool { return true })
 	for _, w := range p.waiters {
-		w <- grant{err: errRemoved}
+		w.granted <- grant{err: errRemoved}
 	}
 	p.waiters = nil
 	return p.open
@@ -105,11 +109,12 @@
 	p.idle = kept
 }
 
-// acquire returns a connection with its deadline set. If none is idle, it opens one within the
-// connection limit or waits for one. With check set, a reused connection is checked as for an order.
-func (p *pool) acquire(ctx context.Context, deadline time.Time, check bool) (*conn, error) {
+// acquire returns a connection, with its deadline set, on which the request with the given ID may be sent. If none is
+// idle, it opens one within the connection limit or waits for one. With check set, a reused connection is checked as
+// for an order.
+func (p *pool) acquire(ctx context.Context, deadline time.Time, id string, check bool) (*conn, error) {
 	for {
-		c, w, err := p.popIdleOrEnqueue()
+		c, w, err := p.popIdleOrEnqueue(id)
 		if c == nil && err == nil {
 			c, err = p.wait(ctx, deadline, w)
 		}
@@ -123,48 +128,53 @@
 	}
 }
 
-func (p *pool) popIdleOrEnqueue() (*conn, waiter, error) {
+func (p *pool) popIdleOrEnqueue(id string) (*conn, *waiter, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.removed {
 		return nil, nil, errRemoved
 	}
-	if c := p.popIdleLocked(); c != nil {
+	if c := p.popIdleLocked(id); c != nil {
 		return c, nil, nil
 	}
-	w := make(waiter, 1)
+	w := &waiter{id: id, granted: make(chan grant, 1)}
 	p.waiters = append(p.waiters, w)
+	if p.open >= p.limit && len(p.idle) > 0 {
+		// None of the idle connections may carry the request. The oldest one makes room for another.
+		p.retireLocked(p.idle[0])
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
 	p.dialLocked()
 	return nil, w, nil
 }
 
-// acquireIdle returns an idle connection or nil. The caller must call prepare on it.
-func (p *pool) acquireIdle() *conn {
+// acquireIdle returns an idle connection that may carry the request with the given ID, or nil. The caller must call
+// prepare on it.
+func (p *pool) acquireIdle(id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.popIdleLocked()
+	return p.popIdleLocked(id)
 }
 
-// popIdleLocked returns the most recently used idle connection, so that surplus connections stay unused
-// and expire.
-func (p *pool) popIdleLocked() *conn {
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil
+// popIdleLocked returns the most recently used of the idle connections that may carry the request, so that surplus
+// connections stay unused and expire.
+func (p *pool) popIdleLocked(id string) *conn {
+	for i, c := range slices.Backward(p.idle) {
+		if c.mayCarry(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			c.incarnation = p.incarnation
+			return c
+		}
 	}
-	c := p.idle[last]
-	p.idle[last] = nil
-	p.idle = p.idle[:last]
-	c.incarnation = p.incarnation
-	return c
+	return nil
 }
 
-func (p *pool) wait(ctx context.Context, deadline time.Time, w waiter) (*conn, error) {
+func (p *pool) wait(ctx context.Context, deadline time.Time, w *waiter) (*conn, error) {
 	t := time.NewTimer(time.Until(deadline))
 	defer t.Stop()
 	err := errNoConnection
 	select {
-	case g := <-w:
+	case g := <-w.granted:
 		return g.conn, g.err
 	case <-ctx.Done():
 		err = errCanceled
@@ -173,7 +183,7 @@
 	if p.removeWaiter(w) {
 		return nil, err
 	}
-	if g := <-w; g.conn != nil {
+	if g := <-w.granted; g.conn != nil {
 		p.put(g.conn)
 	}
 	return nil, err
@@ -188,7 +198,7 @@
 }
 
 // removeWaiter removes a waiter. It returns false if the waiter has already received a grant.
-func (p *pool) removeWaiter(w waiter) bool {
+func (p *pool) removeWaiter(w *waiter) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	i := slices.Index(p.waiters, w)
@@ -199,8 +209,9 @@
 	return true
 }
 
-// put passes a reusable connection to the first waiter or adds it to the idle connections. It retires
-// the connection if the server was removed or the connection limit is exceeded.
+// put passes a reusable connection to the first waiter whose request it may carry, or adds it to the idle connections.
+// It retires the connection if the server was removed, the connection limit is exceeded, or all waiters need another
+// connection and the limit leaves no room for one.
 func (p *pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -213,19 +224,24 @@
 		p.retireLocked(c)
 		return
 	}
-	if len(p.waiters) > 0 {
+	if i := slices.IndexFunc(p.waiters, func(w *waiter) bool { return c.mayCarry(w.id) }); i >= 0 {
 		c.incarnation = p.incarnation
-		p.grantLocked(grant{conn: c})
+		p.grantLocked(i, grant{conn: c})
+		return
+	}
+	if len(p.waiters) > p.dialing && p.open >= p.limit {
+		p.retireLocked(c)
 		return
 	}
 	c.wasIdle = true
 	p.idle = append(p.idle, c)
 }
 
-func (p *pool) grantLocked(g grant) {
-	w := p.waiters[0]
-	p.waiters = p.waiters[1:]
-	w <- g
+// grantLocked passes a connection or a dial error to the waiter with the given index.
+func (p *pool) grantLocked(i int, g grant) {
+	w := p.waiters[i]
+	p.waiters = slices.Delete(p.waiters, i, i+1)
+	w.granted <- g
 }
 
 // release stops counting a connection that has been closed.
@@ -288,7 +304,7 @@
 		p.incarnation = ""
 	}
 	if len(p.waiters) > 0 {
-		p.grantLocked(grant{err: err})
+		p.grantLocked(0, grant{err: err})
 	}
 	p.dialLocked()
 }
