Keep a bounded number of configurations on a node

Cause: the log of feed.State kept each superseded configuration, and the list of recent ones was cut by slicing, so that its array kept more than its 16. Ruled out as main cause: patches and changes of servers, which are small.

Change: a configuration replaces the one before it in the log, as only the current one is ever sent, and the oldest of the recent ones is cleared before the next is added.

Evidence: TestReplicaKeepsFewConfigurations fails before the change (weak pointers to the versions stay valid) and passes 20 times with it; TestCopiesConverge passes with 20,000 plans.

--- a/feed/state.go
+++ b/feed/state.go
@@ -193,8 +193,10 @@
 			return false
 		}
 		s.config = c.Config
+		if len(s.configs) == maxConfigs {
+			s.configs = slices.Delete(s.configs, 0, 1)
+		}
 		s.configs = append(s.configs, c.Config)
-		s.configs = s.configs[max(0, len(s.configs)-maxConfigs):]
 	case c.Server != nil:
 		s.servers[c.Server.ID] = &entry{Server: *c.Server, updatedAt: now}
 	case c.Removed != "":
@@ -224,8 +226,12 @@
 	return true
 }
 
-// appendLog adds a change to the log, and trims the log to logLimit changes when it has twice as many.
+// appendLog adds a change to the log, and trims the log to logLimit changes when it has twice as many. A configuration
+// replaces the one before it in the log, which is never sent again.
 func (s *State) appendLog(to uint64, c Change) {
+	if c.Config != nil {
+		s.log = slices.DeleteFunc(s.log, func(e logEntry) bool { return e.change.Config != nil })
+	}
 	if len(s.log) >= 2*logLimit {
 		drop := len(s.log) - logLimit
 		s.logStart = s.log[drop-1].to
@@ -255,9 +261,8 @@
 	}
 	d := Delta{From: p.Revision, To: max(p.Revision, s.revision)}
 	for i := range s.log {
-		// Older configurations are superseded by the current one.
-		if c := &s.log[i].change; s.log[i].to > p.Revision && (c.Config == nil || c.Config == s.config) {
-			d.Changes = append(d.Changes, *c)
+		if s.log[i].to > p.Revision {
+			d.Changes = append(d.Changes, s.log[i].change)
 		}
 	}
 	s.patchConfig(&d, p.Version)
--- a/feed/state_test.go
+++ b/feed/state_test.go
@@ -4,8 +4,10 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
+	"weak"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -159,6 +161,46 @@
 	is.True(err != nil)
 }
 
+// Guards against the memory of a replica growing with each version of the configuration: a replica keeps the versions
+// that it can send patches for, whether it receives whole configurations, patches, or several versions at once.
+func TestReplicaKeepsFewConfigurations(t *testing.T) {
+	is := is.New(t)
+	from, to := NewState(), NewState()
+	// The servers in the log are needed by nodes that are behind, beside the configurations.
+	apply(t, from, 0, Delta{Full: true, To: 1, Changes: []Change{{Revision: 1, Server: server("a")}}})
+	apply(t, to, 0, from.Since(Position{}))
+	var seen []weak.Pointer[table.Config]
+	revision := uint64(1)
+	for range 40 {
+		d := Delta{From: revision}
+		for range 5 {
+			revision++
+			c := &table.Config{Version: revision, Services: []table.Service{{Name: fmt.Sprint("s-", revision)}}}
+			d.Changes = append(d.Changes, Change{Revision: revision, Config: c})
+			seen = append(seen, weak.Make(c))
+		}
+		revision++
+		d.Changes = append(d.Changes, Change{Revision: revision, Server: server(fmt.Sprint("b-", revision))})
+		d.To = revision
+		behind := to.Position()
+		apply(t, from, 0, d)
+		apply(t, to, 0, from.Since(behind))
+		seen = append(seen, weak.Make(to.Config()))
+		is.Equal(to.Config().Version, from.Config().Version)
+	}
+	is.Equal(len(from.Since(Position{Revision: 1}).Changes), 41) // each server, and the current configuration
+	runtime.GC()
+	kept := 0
+	for _, p := range seen {
+		if p.Value() != nil {
+			kept++
+		}
+	}
+	is.True(kept <= 2*maxConfigs) // by both replicas together
+	runtime.KeepAlive(from)
+	runtime.KeepAlive(to)
+}
+
 // Guards against replicas that diverge after nodes have exchanged changes in any order, with losses, duplicates and
 // full reads, and against a configuration that reverts to an older version in between.
 func TestCopiesConverge(t *testing.T) {
