Let started nodes know all crashes of a request that crashes servers

Cause: the note of a crash was named after the request and the server, so that a later crash of the same server replaced it. A node that started afterwards knew the last incident only and took it for the first. Besides, the detector merged crashes by their order of arrival. Ruled out: notes that don't reach a started node; it has one for each server.

Change: each crash has a note of its own. The detector keeps at most 32 crashes of a request ordered by time and derives the refusal from that list, as it did for crashes in order. A success that clears crashes is published too: with all crashes known, a started node could else refuse a harmless request that has succeeded in between.

--- a/guard/poison.go
+++ b/guard/poison.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -25,16 +26,20 @@
 	// broken connections.
 	maxSuspectFingerprints = 10_000
 	maxInterruptedRuns     = 10_000
+	// maxCrashRecords bounds the crash records of one request. The newest are kept.
+	maxCrashRecords = 32
 )
 
 // PoisonDetector detects poison requests, which crash each server that runs them. The crash of a server is attributed
 // to every request that it was running. A success on any server deletes the crash records of a request, so
-// that a request which was only in flight during an unrelated crash is soon cleared. It is not safe for
-// concurrent use.
+// that a request which was only in flight during an unrelated crash is soon cleared. Nodes exchange crashes and successes;
+// the order in which a node merges them doesn't matter. A PoisonDetector is not safe for concurrent use.
 type PoisonDetector struct {
 	interrupted []interruptedRun
-	crashes     map[Fingerprint][]Crash
-	cleared     map[Fingerprint]time.Time
+	// crashes holds the crashes of each request since its last success, oldest first.
+	crashes map[Fingerprint][]Crash
+	// cleared holds the last success of each request that had crash records.
+	cleared map[Fingerprint]time.Time
 }
 
 // interruptedRun is a connection that broke while a server was running a request.
@@ -50,6 +55,12 @@
 	Crash       Crash       `json:"Crash"`
 }
 
+// ClearNotice is the message that reports to other nodes that a request with crash records has succeeded.
+type ClearNotice struct {
+	Fingerprint Fingerprint `json:"Fingerprint"`
+	At          time.Time   `json:"At"`
+}
+
 // NewPoisonDetector returns a detector without crash records.
 func NewPoisonDetector() *PoisonDetector {
 	return &PoisonDetector{crashes: make(map[Fingerprint][]Crash), cleared: make(map[Fingerprint]time.Time)}
@@ -86,55 +97,64 @@
 		return false
 	}
 	list := d.crashes[n.Fingerprint]
-	duplicate := slices.ContainsFunc(list, func(c Crash) bool {
-		// Once the request has been refused, a further crash of the same server counts if it belongs to another
-		// incident.
-		return c.Server == n.Crash.Server && (len(list) < refusalThreshold || n.Crash.At.Sub(c.At) <= incidentWindow)
-	})
-	if duplicate {
+	i, known := slices.BinarySearchFunc(list, n.Crash, compareCrashes)
+	if known || list == nil && len(d.crashes) >= maxSuspectFingerprints {
 		return false
 	}
-	if list == nil && len(d.crashes) >= maxSuspectFingerprints {
+	list = slices.Insert(list, i, n.Crash)
+	d.crashes[n.Fingerprint] = list[max(0, len(list)-maxCrashRecords):]
+	return true
+}
+
+func compareCrashes(a, b Crash) int {
+	return cmp.Or(a.At.Compare(b.At), a.Server.Compare(b.Server))
+}
+
+// Succeeded deletes the crash records of a request. It returns a notice for the other nodes and true if there were any.
+func (d *PoisonDetector) Succeeded(now time.Time, f Fingerprint) (ClearNotice, bool) {
+	n := ClearNotice{Fingerprint: f, At: now}
+	if d.crashes[f] == nil {
+		return n, false
+	}
+	return n, d.MergeClear(now, n)
+}
+
+// MergeClear deletes the crashes of a request up to a success that this node or a peer has observed, and reports whether
+// it is newer than the last known success. Earlier crashes that are reported later are ignored.
+func (d *PoisonDetector) MergeClear(now time.Time, n ClearNotice) bool {
+	last, known := d.cleared[n.Fingerprint]
+	if now.Sub(n.At) > refusalPeriod || n.At.Sub(now) > maxClockSkew || !n.At.After(last) {
 		return false
 	}
-	d.crashes[n.Fingerprint] = append(list, n.Crash)
+	if !known && len(d.cleared) >= maxSuspectFingerprints {
+		return false
+	}
+	d.cleared[n.Fingerprint] = n.At
+	d.keepCrashes(n.Fingerprint, func(c Crash) bool { return c.At.After(n.At) })
 	return true
 }
 
-// Succeeded deletes the crash records of a request. If there were any, crashes up to now that are reported
-// later are ignored.
-func (d *PoisonDetector) Succeeded(now time.Time, f Fingerprint) {
-	if d.crashes[f] != nil {
+func (d *PoisonDetector) keepCrashes(f Fingerprint, keep func(Crash) bool) {
+	list := slices.DeleteFunc(d.crashes[f], func(c Crash) bool { return !keep(c) })
+	if len(list) == 0 {
 		delete(d.crashes, f)
-		d.cleared[f] = now
+		return
 	}
+	d.crashes[f] = list
 }
 
 // RefusedFor returns the time for which the request is still refused because it has crashed servers, or 0 when
 // it may run.
 func (d *PoisonDetector) RefusedFor(now time.Time, f Fingerprint) time.Duration {
-	list := d.crashes[f]
-	if list == nil {
-		return 0
-	}
-	list = slices.DeleteFunc(list, func(c Crash) bool { return now.Sub(c.At) > refusalPeriod })
-	if len(list) == 0 {
-		delete(d.crashes, f)
+	if d.crashes[f] == nil {
 		return 0
 	}
-	d.crashes[f] = list
+	d.keepCrashes(f, func(c Crash) bool { return now.Sub(c.At) <= refusalPeriod })
+	list := countedCrashes(d.crashes[f])
 	if len(list) < refusalThreshold {
 		return 0
 	}
-	first, last := list[0].At, list[0].At
-	for _, c := range list {
-		if c.At.Before(first) {
-			first = c.At
-		}
-		if c.At.After(last) {
-			last = c.At
-		}
-	}
+	first, last := list[0].At, list[len(list)-1].At
 	end := last.Add(initialRefusalPeriod)
 	if last.Sub(first) > incidentWindow {
 		end = last.Add(refusalPeriod)
@@ -142,10 +162,24 @@
 	return max(0, end.Sub(now))
 }
 
+// countedCrashes returns the crashes that count against a request. A server that crashes again counts once until the
+// request has been refused, as it may crash for another reason, and from then on once for each incident.
+func countedCrashes(list []Crash) []Crash {
+	var counted []Crash
+	for _, c := range list {
+		if !slices.ContainsFunc(counted, func(k Crash) bool {
+			return k.Server == c.Server && (len(counted) < refusalThreshold || c.At.Sub(k.At) <= incidentWindow)
+		}) {
+			counted = append(counted, c)
+		}
+	}
+	return counted
+}
+
 // Expire deletes records older than refusalPeriod. It may be called at any interval.
 func (d *PoisonDetector) Expire(now time.Time) {
 	for f := range d.crashes {
-		d.RefusedFor(now, f)
+		d.keepCrashes(f, func(c Crash) bool { return now.Sub(c.At) <= refusalPeriod })
 	}
 	for f, at := range d.cleared {
 		if now.Sub(at) > refusalPeriod {
--- a/guard/poison_test.go
+++ b/guard/poison_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 func testServer(i byte) netip.AddrPort {
@@ -68,6 +69,69 @@
 	}
 }
 
+// Guards against a node that starts after a request has crashed servers in two incidents, and allows it again because of
+// the order in which it learns of the crashes and of successes.
+func TestOrderOfNoticesDoesNotMatter(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_800_000_000, 0)
+		type notice struct {
+			crash CrashNotice
+			clear ClearNotice
+		}
+		var notices []notice
+		for range rapid.IntRange(1, 8).Draw(t, "notices") {
+			at := now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "second")) * time.Second / 2)
+			if rapid.IntRange(0, 4).Draw(t, "kind") == 0 {
+				notices = append(notices, notice{clear: ClearNotice{7, at}})
+				continue
+			}
+			server := testServer(rapid.Byte().Draw(t, "server") % 3)
+			notices = append(notices, notice{crash: CrashNotice{7, Crash{Server: server, At: at}}})
+		}
+		now = now.Add(10 * time.Second)
+		refused := func(notices []notice) time.Duration {
+			d := NewPoisonDetector()
+			for _, n := range notices {
+				if n.clear.Fingerprint != 0 {
+					d.MergeClear(now, n.clear)
+				} else {
+					d.Merge(now, n.crash)
+				}
+			}
+			return d.RefusedFor(now, 7)
+		}
+		inOrder, other := refused(notices), refused(rapid.Permutation(notices).Draw(t, "other order"))
+		if inOrder != other {
+			t.Fatalf("refused for %s, and in another order for %s", inOrder, other)
+		}
+	})
+}
+
+// Guards against a node that starts later and refuses a harmless request, because it learns of crashes but not of the
+// success in between, and against a clock that is ahead and clears crashes to come.
+func TestSuccessClearsCrashesAtOtherNodes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	first, second := NewPoisonDetector(), NewPoisonDetector()
+	crash := CrashNotice{7, Crash{Server: testServer(1), At: now}}
+	is.True(first.Merge(now, crash))
+	cleared, ok := first.Succeeded(now.Add(time.Second), 7)
+	is.True(ok)
+	_, ok = first.Succeeded(now.Add(time.Second), 7)
+	is.True(!ok) // there is nothing left to clear
+	later := CrashNotice{7, Crash{Server: testServer(2), At: now.Add(8 * time.Second)}}
+	now = now.Add(9 * time.Second)
+	for _, n := range []CrashNotice{later, crash} {
+		second.Merge(now, n)
+	}
+	is.True(second.RefusedFor(now, 7) > 0)
+	is.True(second.MergeClear(now, cleared))
+	is.Equal(second.RefusedFor(now, 7), time.Duration(0))
+	is.True(!second.MergeClear(now, ClearNotice{7, now.Add(2 * maxClockSkew)}))
+}
+
 // Guards against a delayed crash report that makes a request suspect again although it has succeeded after
 // the crash.
 func TestSuccessOverridesDelayedCrash(t *testing.T) {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -89,55 +89,80 @@
 // address in 127.0.network.0/24, and the first three are seeds.
 func newFleet(t *testing.T, network byte, domains ...string) (*fake.MemoryPlatform, []*member) {
 	t.Helper()
-	published := fake.NewMemoryPlatform()
-	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", netip.AddrFrom4([4]byte{127, 0, network, 1}).String()+":0")
+	f := newTestFleet(t, network, len(domains))
+	var members []*member
+	for _, d := range domains {
+		members = append(members, f.start(d))
+	}
+	return f.published, members
+}
+
+// testFleet starts nodes that are stopped at the end of the test.
+type testFleet struct {
+	t         *testing.T
+	published *fake.MemoryPlatform
+	network   byte
+	port      uint16
+	seeds     []netip.AddrPort
+	logs      *testLog
+	started   int
+}
+
+// newTestFleet returns a fleet without nodes. The first nodes that are started, three at most, are seeds.
+func newTestFleet(t *testing.T, network byte, nodes int) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, published: fake.NewMemoryPlatform(), network: network, logs: &testLog{}}
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", f.address(0).Addr().String()+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	port := l.Addr().(*net.TCPAddr).AddrPort().Port()
+	f.port = l.Addr().(*net.TCPAddr).AddrPort().Port()
 	l.Close()
-	address := func(i int) netip.AddrPort {
-		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, network, byte(i + 1)}), port)
+	for i := range min(3, nodes) {
+		f.seeds = append(f.seeds, f.address(i))
 	}
-	var seeds []netip.AddrPort
-	for i := range min(3, len(domains)) {
-		seeds = append(seeds, address(i))
-	}
-	var members []*member
-	logs := &testLog{}
 	t.Cleanup(func() {
 		if t.Failed() {
-			t.Logf("logs of the nodes:\n%s", logs)
+			t.Logf("logs of the nodes:\n%s", f.logs)
 		}
 	})
-	for i, d := range domains {
-		m := &member{source: &platformLink{MemoryPlatform: published}, done: make(chan error, 1)}
-		m.Node, err = New(Config{
-			Source: m.source, Headers: wire.DefaultHeaders(), Log: slog.New(slog.NewTextHandler(logs, nil)).With("Node", i),
-			Settings: &conf.Settings{
-				Name: fmt.Sprint("node-", i), FailureDomain: d, Region: "tw",
-				CallerAddress: netip.AddrPortFrom(address(i).Addr(), port+1), PeerAddress: address(i),
-				FleetKeys: []string{strings.Repeat("ab", 16)}, Seeds: seeds,
-				Bounds: conf.Bounds{ApplyTime: wire.Duration(applyTime)},
-			},
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		var ctx context.Context
-		ctx, m.stop = context.WithCancel(context.Background())
-		go func() { m.done <- m.Run(ctx) }()
-		members = append(members, m)
+	return f
+}
+
+func (f *testFleet) address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, f.network, byte(i + 1)}), f.port)
+}
+
+// start starts one more node.
+func (f *testFleet) start(domain string) *member {
+	f.t.Helper()
+	i := f.started
+	f.started++
+	address := f.address(i)
+	m := &member{source: &platformLink{MemoryPlatform: f.published}, done: make(chan error, 1)}
+	var err error
+	m.Node, err = New(Config{
+		Source: m.source, Headers: wire.DefaultHeaders(), Log: slog.New(slog.NewTextHandler(f.logs, nil)).With("Node", i),
+		Settings: &conf.Settings{
+			Name: fmt.Sprint("node-", i), FailureDomain: domain, Region: "tw",
+			CallerAddress: netip.AddrPortFrom(address.Addr(), f.port+1), PeerAddress: address,
+			FleetKeys: []string{strings.Repeat("ab", 16)}, Seeds: f.seeds,
+			Bounds: conf.Bounds{ApplyTime: wire.Duration(applyTime)},
+		},
+	})
+	if err != nil {
+		f.t.Fatal(err)
 	}
-	t.Cleanup(func() {
-		for _, m := range members {
-			m.stop()
-			if err := <-m.done; err != nil {
-				t.Error(err)
-			}
+	var ctx context.Context
+	ctx, m.stop = context.WithCancel(context.Background())
+	go func() { m.done <- m.Run(ctx) }()
+	f.t.Cleanup(func() {
+		m.stop()
+		if err := <-m.done; err != nil {
+			f.t.Error(err)
 		}
 	})
-	return published, members
+	return m
 }
 
 // testLog collects the log lines of all nodes, which are printed if the test fails.
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/arbutusthread/arbutusthread/back"
@@ -13,8 +14,10 @@
 )
 
 const (
-	// noteKindCrash is the kind of gossip notes about crashes, and noteTTL how long nodes keep them.
+	// noteKindCrash and noteKindClear are the kinds of gossip notes about crashes and about later successes, and noteTTL
+	// is how long nodes keep them.
 	noteKindCrash = "crash"
+	noteKindClear = "clear"
 	noteTTL       = 10 * time.Minute
 	// probeDelay is the wait before a probe. A crashing process may close its listening socket last.
 	probeDelay = 20 * time.Millisecond
@@ -32,7 +35,9 @@
 func (n *Node) recordAttempt(now time.Time, c *call, server netip.AddrPort, outcome gather.Outcome, r back.Result) {
 	switch {
 	case outcome == gather.OK:
-		n.quarantine.Succeeded(now, c.fingerprint)
+		if clear, ok := n.quarantine.Succeeded(now, c.fingerprint); ok {
+			go n.publishNote(now, noteKindClear, clear.Fingerprint.String(), clear)
+		}
 	case outcome == gather.Broken && r.Refused:
 		n.quarantine.ConnectionBroken(now, c.fingerprint, server)
 		if !n.probing[server] {
@@ -51,10 +56,16 @@
 		n.log.Warn("request may have crashed a server", "Fingerprint", note.Fingerprint, "Server", server)
 		n.metrics.Count("crashes")
 		// Publish takes the lock of the fleet, and handlers of fleet events take n.mu: a call under n.mu could deadlock.
-		go n.publishCrash(now, note)
+		go n.publishNote(now, noteKindCrash, crashID(note), note)
 	}
 }
 
+// crashID identifies a crash among the notes. A further crash of the same server is a note of its own: nodes that start
+// later need both, to tell a request that has crashed servers in two incidents.
+func crashID(n guard.CrashNotice) string {
+	return n.Fingerprint.String() + "/" + n.Crash.Server.String() + "/" + strconv.FormatInt(n.Crash.At.UnixNano(), 36)
+}
+
 // probe connects to a server that broke a connection, to detect a crash. Requests alone may detect it late, since
 // they are sent to other servers after the failure.
 func (n *Node) probe(server netip.AddrPort) {
@@ -69,34 +80,53 @@
 	}
 }
 
-func (n *Node) publishCrash(now time.Time, note guard.CrashNotice) {
-	body, err := json.Marshal(note)
+// publishNote publishes a crash or a success to the other nodes.
+func (n *Node) publishNote(now time.Time, kind, id string, notice any) {
+	body, err := json.Marshal(notice)
 	if err == nil {
-		err = n.peer.Publish(fleet.Note{
-			ID:   noteKindCrash + "/" + note.Fingerprint.String() + "/" + note.Crash.Server.String(),
-			Kind: noteKindCrash, Body: body, Expires: now.Add(noteTTL).UTC(),
-		})
+		err = n.peer.Publish(fleet.Note{ID: kind + "/" + id, Kind: kind, Body: body, Expires: now.Add(noteTTL).UTC()})
 	}
 	if err != nil {
-		n.log.Warn("cannot publish a crash to other nodes", "Fingerprint", note.Fingerprint, "Error", err)
+		n.log.Warn("cannot publish a note to other nodes", "Kind", kind, "Note", id, "Error", err)
 	}
 }
 
-// mergeNote adds a crash that another node has published.
+// mergeNote adds a crash or a success that another node has published.
 func (n *Node) mergeNote(note fleet.Note) {
-	if note.Kind != noteKindCrash {
-		return
+	var err error
+	switch note.Kind {
+	case noteKindCrash:
+		err = n.mergeCrash(note.Body)
+	case noteKindClear:
+		err = n.mergeClear(note.Body)
 	}
+	if err != nil {
+		n.log.Warn("cannot decode a note", "Kind", note.Kind, "Note", note.ID, "Error", err)
+	}
+}
+
+func (n *Node) mergeCrash(body []byte) error {
 	var crash guard.CrashNotice
-	if err := json.Unmarshal(note.Body, &crash); err != nil {
-		n.log.Warn("cannot decode a crash note", "Note", note.ID, "Error", err)
-		return
+	if err := json.Unmarshal(body, &crash); err != nil {
+		return err
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.quarantine.Merge(time.Now(), crash) {
 		n.log.Info("crash reported by another node", "Fingerprint", crash.Fingerprint, "Server", crash.Crash.Server)
 	}
+	return nil
+}
+
+func (n *Node) mergeClear(body []byte) error {
+	var clear guard.ClearNotice
+	if err := json.Unmarshal(body, &clear); err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.quarantine.MergeClear(time.Now(), clear)
+	return nil
 }
 
 // checkQuarantine reports whether a request is quarantined because it has crashed too many servers, and returns its
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -119,3 +119,39 @@
 	})
 	is.Equal(call(members[0], "/other").End, gather.Complete)
 }
+
+// Guards against a restarted node that passes a poison request on again: it must learn of both incidents in which the
+// request has crashed servers, although the same servers crashed in both.
+func TestStartedNodeKnowsAllCrashesOfARequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newTestFleet(t, 95, 2)
+	first := f.start("lukang")
+	poison := back.Forward{Method: http.MethodGet, URI: "/poison", Host: "h", RequestID: "r"}
+	fingerprint := fingerprintOf(&poison)
+	now := time.Now()
+	for _, ago := range []time.Duration{8 * time.Second, time.Second} {
+		for _, host := range []string{"127.0.0.1:1", "127.0.0.1:2"} {
+			first.mu.Lock()
+			first.quarantine.ConnectionBroken(now.Add(-ago), fingerprint, netip.MustParseAddrPort(host))
+			first.serverDown(now.Add(-ago), netip.MustParseAddrPort(host))
+			first.mu.Unlock()
+		}
+	}
+	refusedFor := func(m *member) time.Duration {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.quarantine.RefusedFor(time.Now(), fingerprint)
+	}
+	is.True(refusedFor(first) > time.Minute)
+	second := f.start("lukang")
+	waitFor(t, "the second node to refuse the request as long as the first", eventTimeout, func() bool {
+		return refusedFor(second) > time.Minute
+	})
+
+	// The request succeeds after all, and is allowed at both nodes.
+	first.mu.Lock()
+	first.recordAttempt(time.Now(), &call{fingerprint: fingerprint}, netip.AddrPort{}, gather.OK, back.Result{})
+	first.mu.Unlock()
+	waitFor(t, "the second node to allow the request", eventTimeout, func() bool { return refusedFor(second) == 0 })
+}
