Answer all requests before the end of a planned stop

Cause: a stopping node accepted requests with deadlines beyond its own end and cut them off at 0.95 of the stop time. Ruled out: connections that are closed while a request arrives; in all 27 losses of the reproduction the request waited for a slow server, and the node logged "requests in flight aborted at the end of the stop time" as in the users' record.

Change: Engine.StopAt moves the deadline of each request to 0.9 of the stop time, so that it gets 504 or 503 in time. Connections that are left at the end are closed explicitly.

Evidence: on TestPlannedStopAnswersRequestsOfSilentServers fails for each of its 32 requests, which are unanswered when the node has stopped; with the change it passes.

--- a/front/fleet_test.go
+++ b/front/fleet_test.go
@@ -26,6 +26,9 @@
 // waitTimeout is the time after which waitFor fails. It is far longer than any condition normally takes.
 const waitTimeout = 20 * time.Second
 
+// stopTime is the stop time of the nodes.
+const stopTime = 2 * time.Second
+
 // fixture is a fleet of nodes in one process with stand-ins for the platform and for backend servers.
 type fixture struct {
 	*testing.T
@@ -87,7 +90,7 @@
 		Limits: conf.Limits{AnswerBytes: 1 << 20},
 		Bounds: conf.Bounds{
 			RetryRatio: 0.2, RetrySlack: 50, RetryWindow: wire.Duration(10 * time.Second),
-			ApplyTime: wire.Duration(3 * time.Second), StopTime: wire.Duration(2 * time.Second),
+			ApplyTime: wire.Duration(3 * time.Second), StopTime: wire.Duration(stopTime),
 		},
 	}
 	n, err := node.New(node.Config{Settings: settings, Source: f.published, Headers: wire.DefaultHeaders(), Log: nopLog})
@@ -147,6 +150,14 @@
 				Name: "order", Host: "ledger.example", Prefix: "/order/", MaxAttempts: 2,
 				Timeout: wire.Duration(time.Second), Targets: []table.Target{{Service: "ledger", Weight: 1}},
 			},
+			{
+				Name: "report", Host: "ledger.example", Prefix: "/report/", Idempotent: true, MaxAttempts: 2,
+				Timeout: wire.Duration(8 * time.Second), Targets: []table.Target{{Service: "ledger", Weight: 1}},
+			},
+			{
+				Name: "payment", Host: "ledger.example", Prefix: "/payment/", MaxAttempts: 2,
+				Timeout: wire.Duration(8 * time.Second), Targets: []table.Target{{Service: "ledger", Weight: 1}},
+			},
 		},
 		Services: []table.Service{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "ledger", Connections: 25}},
 	}
--- a/front/run.go
+++ b/front/run.go
@@ -20,8 +20,10 @@
 	// cached the address are still served although the directory no longer lists it.
 	drainStartShare = 0.2
 	acceptStopShare = 0.6
-	// abortShare is the share of the stop time after which requests in flight are aborted.
-	abortShare = 0.95
+	// answerShare is the share of the stop time by which all requests are answered, the ones that are still waiting for
+	// a server with a failure. abortShare is the share after which the remaining connections are closed.
+	answerShare = 0.9
+	abortShare  = 0.95
 	// defaultStopTime is used if the settings specify no stop time.
 	defaultStopTime = 10 * time.Second
 	// auxTimeout is the timeout for reading the headers of a request to an auxiliary endpoint, and for
@@ -45,8 +47,8 @@
 	AuxEndpoints []Endpoint
 	// Run runs the node behind the listeners until its context ends.
 	Run func(ctx context.Context) error
-	// Leave announces a graceful shutdown to the other nodes.
-	Leave    func()
+	// Leave announces a graceful shutdown to the other nodes. All requests must be answered by the given time.
+	Leave    func(end time.Time)
 	StopTime time.Duration
 	Log      *slog.Logger
 }
@@ -94,19 +96,18 @@
 	if stopTime <= 0 {
 		stopTime = defaultStopTime
 	}
-	after := func(share float64) time.Duration {
-		return time.Until(begin.Add(time.Duration(share * float64(stopTime))))
-	}
+	at := func(share float64) time.Time { return begin.Add(time.Duration(share * float64(stopTime))) }
 	r.Log.Info("node shutting down", "StopTime", stopTime)
-	r.Leave()
-	clock.Sleep(ctx, after(drainStartShare))
+	r.Leave(at(answerShare))
+	clock.Sleep(ctx, time.Until(at(drainStartShare)))
 	r.Server.Drain()
-	clock.Sleep(ctx, after(acceptStopShare))
+	clock.Sleep(ctx, time.Until(at(acceptStopShare)))
 	_ = callers.Close()
-	ctx, cancel := context.WithTimeout(ctx, after(abortShare))
+	ctx, cancel := context.WithDeadline(ctx, at(abortShare))
 	defer cancel()
 	if err := r.Server.Shutdown(ctx); err != nil {
 		r.Log.Warn("requests in flight aborted at the end of the stop time", "Error", err)
+		r.Server.Close()
 	}
 	r.Log.Info("node stopped", "After", time.Since(begin).Round(time.Millisecond))
 	return nil
--- a/front/server.go
+++ b/front/server.go
@@ -131,6 +131,9 @@
 	}
 }
 
+// Close closes all connections, including those with requests in flight.
+func (s *Server) Close() { _ = s.http.Close() }
+
 func (s *Server) reapIdle(ctx context.Context) {
 	t := time.NewTicker(idleCheckInterval)
 	defer t.Stop()
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -100,3 +102,47 @@
 	is.True(answered.Load() > 100)
 	is.Equal(lost.Load(), int64(0))
 }
+
+// Guards against requests that a node passes on to a server and then cuts off without an answer, because they outlive the
+// stop time: those in flight at the stop as well as those that come late in it, on new and on kept connections.
+func TestPlannedStopAnswersRequestsOfSilentServers(t *testing.T) {
+	is := is.New(t)
+	f, s := newLedgerFixture(t, fake.RoutedConfig{Slots: 64, Faults: fake.RoutedFaults{Hang: 1}})
+	n := f.nodes[0]
+	stopAt := time.Now().Add(200 * time.Millisecond)
+	var stopped atomic.Bool // the process would have ended
+	var group sync.WaitGroup
+	for _, after := range []time.Duration{-150, 50, 300, 500, 700, 900, 1100, 1150} {
+		for _, uri := range []string{"/report/", "/payment/"} {
+			for _, connectAt := range []time.Duration{-100, after} {
+				c, in := net.Conn(nil), (*bufio.Reader)(nil)
+				if connectAt < after {
+					c, in = f.dial(n)
+				}
+				id := fmt.Sprint("r", uri[1:len(uri)-1], after, connectAt)
+				group.Go(func() {
+					time.Sleep(time.Until(stopAt.Add(after * time.Millisecond)))
+					if c == nil {
+						c, in = f.dial(n)
+					}
+					_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: ledger.example\r\nRequest-Id: %s\r\nRequest-Timeout: 7500\r\n\r\n", uri, id)
+					is.NoErr(err)
+					a, _, err := readResponse(in)
+					ran := slices.ContainsFunc(s.Runs(), func(r fake.RoutedRun) bool { return r.RequestID == id })
+					t.Logf("%s: status %d after %s, ran %v, error %v", id, a.status, time.Since(stopAt).Round(time.Millisecond), ran, err)
+					if err != nil || stopped.Load() || a.status == http.StatusServiceUnavailable && (ran || a.header.Get("Retry-After") == "") {
+						t.Errorf("%s: node stopped %v, status %d, ran %v, Retry-After %q, error %v",
+							id, stopped.Load(), a.status, ran, a.header.Get("Retry-After"), err)
+					}
+				})
+			}
+		}
+	}
+	time.Sleep(time.Until(stopAt))
+	n.stop()
+	is.NoErr(<-n.stopped)
+	stopped.Store(true)
+	n.stopped <- nil
+	is.True(time.Since(stopAt) < stopTime)
+	group.Wait()
+}
--- a/gather/engine.go
+++ b/gather/engine.go
@@ -42,9 +42,11 @@
 	relayDomains map[string][]*relayNode
 	relayCalls   map[RelayID]*relayCall
 	nodes        int
-	lastJob      JobID
-	lastSent     AttemptID
-	lastRelay    RelayID
+	// stopAt is the time at which the node stops, zero if no stop is planned.
+	stopAt    time.Time
+	lastJob   JobID
+	lastSent  AttemptID
+	lastRelay RelayID
 }
 
 // New returns an engine without pools.
--- a/gather/job.go
+++ b/gather/job.go
@@ -70,6 +70,13 @@
 	e.lastJob++
 	j := &job{Request: r, id: e.lastJob, started: now, tasks: make([]task, len(r.Pools)), class: e.classOf(now, &r)}
 	var act Actions
+	if e.stopsTooSoon(now, j) {
+		act.Finished = &Finished{
+			Job: j.id, End: Refused, Total: len(j.tasks), RetryAfter: stopRetryAfter, Reason: "the node is stopping",
+		}
+		return j.id, act
+	}
+	e.endAtStop(j)
 	if reason := e.refusalReason(j); reason != "" {
 		act.Finished = &Finished{Job: j.id, End: Refused, Total: len(j.tasks), RetryAfter: retryAfter, Reason: reason}
 		return j.id, act
--- a/node/node.go
+++ b/node/node.go
@@ -197,13 +197,25 @@
 	return errors.CombineErrors(err, n.metrics.Close())
 }
 
-// Leave announces a planned stop to the other nodes. The node continues to serve requests.
-func (n *Node) Leave() {
+// Leave announces a planned stop to the other nodes. The node continues to serve requests, and ends each of them by the
+// given time with an answer to its caller.
+func (n *Node) Leave(end time.Time) {
 	if n.stopping.CompareAndSwap(false, true) {
+		n.stopRequestsAt(end)
 		n.peer.Leave()
 	}
 }
 
+func (n *Node) stopRequestsAt(end time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	n.engine.StopAt(end)
+	for _, c := range n.calls {
+		n.scheduleTick(now, c)
+	}
+}
+
 // setBlind publishes to the other nodes whether this one can read the platform.
 func (n *Node) setBlind(blind bool) {
 	n.statusMu.Lock()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -176,7 +176,7 @@
 			return hasService(m, "s") && listed(m, members[1]) && listed(m, members[2])
 		})
 	}
-	members[1].Leave()
+	members[1].Leave(time.Now().Add(time.Minute))
 	is.True(!members[1].Ready())
 	waitFor(t, "an answer without the leaving node", 2*time.Second, func() bool { return !listed(members[0], members[1]) })
 	members[2].stop()
