Bound the latency classes of an engine

Cause: the engine kept the latencies of each route name that was ever used, about 46 KB each, also after the route had left the configuration.

Change: at most 256 classes are kept, and the one whose last request is the oldest makes room for a new one.

Measured: TestClassesAreBounded finds 1,025 classes after 1,025 routes before the change and 256 with it; go test ./gather passes.

--- a/gather/engine_test.go
+++ b/gather/engine_test.go
@@ -442,3 +442,24 @@
 	f.advance(time.Second)
 	is.Equal(len(f.Tick(f.now, 1).Sends), 0)
 }
+
+// Guards against memory that grows with each route that was ever used, and against the loss of the latencies of a route
+// in use.
+func TestClassesAreBounded(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture()
+	inUse := f.request("a")
+	inUse.Class = "in use"
+	f.submit(inUse)
+	kept := f.classes["in use"]
+	for i := range 4 * maxClasses {
+		f.advance(time.Millisecond)
+		r := f.request("a")
+		r.Class = fmt.Sprint("route-", i)
+		f.submit(r)
+		f.submit(inUse)
+	}
+	is.Equal(len(f.classes), maxClasses)
+	is.Equal(f.classes["in use"], kept)
+}
--- a/gather/job.go
+++ b/gather/job.go
@@ -118,9 +118,13 @@
 func (e *Engine) classOf(now time.Time, r *Request) *latencyClass {
 	c := e.classes[r.Class]
 	if c == nil {
+		if len(e.classes) >= maxClasses {
+			e.dropOldestClass()
+		}
 		c = newClass()
 		e.classes[r.Class] = c
 	}
+	c.usedAt = now
 	if !r.Target.IsZero() {
 		c.target = r.Target.Sub(now)
 	}
--- a/gather/server.go
+++ b/gather/server.go
@@ -161,6 +161,23 @@
 	latencies, recent *route.Distribution
 	// target is the response-time objective.
 	target time.Duration
+	// usedAt is the time of the last request.
+	usedAt time.Time
+}
+
+// maxClasses is the maximum number of classes of an engine, each of which takes about 46 KB. Routes come and go with the
+// configuration.
+const maxClasses = 256
+
+// dropOldestClass drops the class whose last request is the oldest. Its requests in flight keep it.
+func (e *Engine) dropOldestClass() {
+	oldest := ""
+	for name, c := range e.classes {
+		if old := e.classes[oldest]; old == nil || c.usedAt.Before(old.usedAt) {
+			oldest = name
+		}
+	}
+	delete(e.classes, oldest)
 }
 
 const (
