Clear crashes of nodes whose clocks are ahead, and bound their times

Cause: since crashes are cleared by time, a success did not clear a crash that a node with a clock ahead had reported, as it did before; and a crash with a time far ahead would have kept a request refused for that long.

Measured: go test ./guard ./node passes, with the new cases in TestSuccessClearsCrashesAtOtherNodes.

--- a/guard/poison.go
+++ b/guard/poison.go
@@ -93,7 +93,7 @@
 
 // Merge adds a crash that this node or a peer has observed, and reports whether it is new.
 func (d *PoisonDetector) Merge(now time.Time, n CrashNotice) bool {
-	if now.Sub(n.Crash.At) > refusalPeriod || !n.Crash.At.After(d.cleared[n.Fingerprint]) {
+	if now.Sub(n.Crash.At) > refusalPeriod || n.Crash.At.Sub(now) > maxClockSkew || !n.Crash.At.After(d.cleared[n.Fingerprint]) {
 		return false
 	}
 	list := d.crashes[n.Fingerprint]
@@ -112,9 +112,14 @@
 
 // Succeeded deletes the crash records of a request. It returns a notice for the other nodes and true if there were any.
 func (d *PoisonDetector) Succeeded(now time.Time, f Fingerprint) (ClearNotice, bool) {
+	list := d.crashes[f]
+	if list == nil {
+		return ClearNotice{}, false
+	}
 	n := ClearNotice{Fingerprint: f, At: now}
-	if d.crashes[f] == nil {
-		return n, false
+	if last := list[len(list)-1].At; last.After(now) {
+		// The crash comes from a node whose clock is ahead.
+		n.At = last
 	}
 	return n, d.MergeClear(now, n)
 }
--- a/guard/poison_test.go
+++ b/guard/poison_test.go
@@ -130,6 +130,13 @@
 	is.True(second.MergeClear(now, cleared))
 	is.Equal(second.RefusedFor(now, 7), time.Duration(0))
 	is.True(!second.MergeClear(now, ClearNotice{7, now.Add(2 * maxClockSkew)}))
+
+	// A crash from a node whose clock is ahead is cleared as well.
+	is.True(second.Merge(now, CrashNotice{7, Crash{Server: testServer(3), At: now.Add(maxClockSkew / 2)}}))
+	_, ok = second.Succeeded(now, 7)
+	is.True(ok)
+	is.Equal(len(second.crashes), 0)
+	is.True(!second.Merge(now, CrashNotice{7, Crash{Server: testServer(3), At: now.Add(2 * maxClockSkew)}}))
 }
 
 // Guards against a delayed crash report that makes a request suspect again although it has succeeded after
