Make the test of silent servers at a planned stop independent of scheduling

The test took an answer for late when its reader was scheduled after the node had stopped, although the node had sent it before. It now accepts what the node sent until it stopped, read within a second of that, and uses a stop time of 4 s.

--- a/front/fleet_test.go
+++ b/front/fleet_test.go
@@ -26,8 +26,8 @@
 // waitTimeout is the time after which waitFor fails. It is far longer than any condition normally takes.
 const waitTimeout = 20 * time.Second
 
-// stopTime is the stop time of the nodes.
-const stopTime = 2 * time.Second
+// defaultTestStopTime is the stop time of the nodes of a fixture.
+const defaultTestStopTime = 2 * time.Second
 
 // fixture is a fleet of nodes in one process with stand-ins for the platform and for backend servers.
 type fixture struct {
@@ -35,6 +35,7 @@
 	published *fake.MemoryPlatform
 	servers   map[string]*fake.RoutedServer
 	nodes     []*runningNode
+	stopTime  time.Duration
 }
 
 type runningNode struct {
@@ -46,7 +47,11 @@
 
 // newFixture starts a node in each failure domain. Each node has its own loopback address.
 func newFixture(t *testing.T, domains ...string) *fixture {
-	f := &fixture{T: t, published: fake.NewMemoryPlatform(), servers: make(map[string]*fake.RoutedServer)}
+	return newFixtureWithStopTime(t, defaultTestStopTime, domains...)
+}
+
+func newFixtureWithStopTime(t *testing.T, stopTime time.Duration, domains ...string) *fixture {
+	f := &fixture{T: t, published: fake.NewMemoryPlatform(), servers: make(map[string]*fake.RoutedServer), stopTime: stopTime}
 	port := freePort(t)
 	var seeds []netip.AddrPort
 	for i := range domains {
@@ -90,7 +95,7 @@
 		Limits: conf.Limits{AnswerBytes: 1 << 20},
 		Bounds: conf.Bounds{
 			RetryRatio: 0.2, RetrySlack: 50, RetryWindow: wire.Duration(10 * time.Second),
-			ApplyTime: wire.Duration(3 * time.Second), StopTime: wire.Duration(stopTime),
+			ApplyTime: wire.Duration(3 * time.Second), StopTime: wire.Duration(f.stopTime),
 		},
 	}
 	n, err := node.New(node.Config{Settings: settings, Source: f.published, Headers: wire.DefaultHeaders(), Log: nopLog})
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -107,32 +107,33 @@
 // stop time: those in flight at the stop as well as those that come late in it, on new and on kept connections.
 func TestPlannedStopAnswersRequestsOfSilentServers(t *testing.T) {
 	is := is.New(t)
-	f, s := newLedgerFixture(t, fake.RoutedConfig{Slots: 64, Faults: fake.RoutedFaults{Hang: 1}})
+	const stopTime = 4 * time.Second
+	f := newFixtureWithStopTime(t, stopTime, "lukang")
+	s := f.startServer("ledger", "lukang", fake.RoutedConfig{Slots: 64, Faults: fake.RoutedFaults{Hang: 1}})
+	f.publishRoutes()
 	n := f.nodes[0]
 	stopAt := time.Now().Add(200 * time.Millisecond)
-	var stopped atomic.Bool // the process would have ended
+	stopped := make(chan struct{})
 	var group sync.WaitGroup
-	for _, after := range []time.Duration{-150, 50, 300, 500, 700, 900, 1100, 1150} {
+	for _, share := range []float64{-0.04, 0.02, 0.15, 0.25, 0.35, 0.45, 0.55, 0.57} {
+		after := time.Duration(share * float64(stopTime))
 		for _, uri := range []string{"/report/", "/payment/"} {
-			for _, connectAt := range []time.Duration{-100, after} {
-				c, in := net.Conn(nil), (*bufio.Reader)(nil)
-				if connectAt < after {
-					c, in = f.dial(n)
+			for _, kept := range []bool{false, true} {
+				id := fmt.Sprint("r", uri[1:len(uri)-1], after, kept)
+				c := &lateCaller{node: n, id: id, uri: uri}
+				if kept {
+					c.connect(f)
 				}
-				id := fmt.Sprint("r", uri[1:len(uri)-1], after, connectAt)
 				group.Go(func() {
-					time.Sleep(time.Until(stopAt.Add(after * time.Millisecond)))
-					if c == nil {
-						c, in = f.dial(n)
+					time.Sleep(time.Until(stopAt.Add(after)))
+					if !kept {
+						c.connect(f)
 					}
-					_, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: ledger.example\r\nRequest-Id: %s\r\nRequest-Timeout: 7500\r\n\r\n", uri, id)
-					is.NoErr(err)
-					a, _, err := readResponse(in)
+					a, err := c.send(stopped)
 					ran := slices.ContainsFunc(s.Runs(), func(r fake.RoutedRun) bool { return r.RequestID == id })
 					t.Logf("%s: status %d after %s, ran %v, error %v", id, a.status, time.Since(stopAt).Round(time.Millisecond), ran, err)
-					if err != nil || stopped.Load() || a.status == http.StatusServiceUnavailable && (ran || a.header.Get("Retry-After") == "") {
-						t.Errorf("%s: node stopped %v, status %d, ran %v, Retry-After %q, error %v",
-							id, stopped.Load(), a.status, ran, a.header.Get("Retry-After"), err)
+					if err != nil || a.status == http.StatusServiceUnavailable && (ran || a.header.Get("Retry-After") == "") {
+						t.Errorf("%s: status %d, ran %v, Retry-After %q, error %v", id, a.status, ran, a.header.Get("Retry-After"), err)
 					}
 				})
 			}
@@ -141,8 +142,33 @@
 	time.Sleep(time.Until(stopAt))
 	n.stop()
 	is.NoErr(<-n.stopped)
-	stopped.Store(true)
+	close(stopped)
 	n.stopped <- nil
 	is.True(time.Since(stopAt) < stopTime)
 	group.Wait()
 }
+
+// lateCaller sends one request to a node that is stopping.
+type lateCaller struct {
+	node    *runningNode
+	id, uri string
+	conn    net.Conn
+	in      *bufio.Reader
+}
+
+func (c *lateCaller) connect(f *fixture) { c.conn, c.in = f.dial(c.node) }
+
+// send sends the request and reads the answer. Once stopped is closed the process of the node would have ended: only an
+// answer that was sent before counts.
+func (c *lateCaller) send(stopped <-chan struct{}) (response, error) {
+	_, err := fmt.Fprintf(c.conn, "GET %s HTTP/1.1\r\nHost: ledger.example\r\nRequest-Id: %s\r\nRequest-Timeout: 7500\r\n\r\n", c.uri, c.id)
+	if err != nil {
+		return response{}, err
+	}
+	go func() {
+		<-stopped
+		_ = c.conn.SetReadDeadline(time.Now().Add(time.Second))
+	}()
+	a, _, err := readResponse(c.in)
+	return a, err
+}
