Let the whole shop of the soak be full when it repeats rejections

Only one server of the shop was slow, and a rejected order was sent to another one, hence on another connection.

Change: all servers of the shop are slow at once, and each repeats a share of its rejections late.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -65,7 +65,7 @@
 	{"platform cut", (*faultInjector).platformCut},
 	{"server link", (*faultInjector).serverLink},
 	{"server fault", (*faultInjector).serverFault},
-	{"full server", (*faultInjector).fullServer},
+	{"full service", (*faultInjector).fullService},
 	{"caller link", (*faultInjector).callerLink},
 	{"route", (*faultInjector).addRoute},
 	{"server leaves", (*faultInjector).serverLeaves},
@@ -228,13 +228,18 @@
 	return nil
 }
 
-// fullServer slows a server of the shop down, so that it rejects requests, and repeats its rejections late.
-func (f *faultInjector) fullServer(r *rand.Rand, d time.Duration) error {
+// fullService slows the servers of the shop down, so that they reject requests, and lets some of them repeat rejections
+// late. All of them are slow, since a rejected request is sent to another server if one has room.
+func (f *faultInjector) fullService(r *rand.Rand, d time.Duration) error {
 	defer f.recordWindow("server", "", time.Now())
-	s := f.world.backends[shards*serversPerShard+r.IntN(shopServers)].server
-	s.SetFaults(fake.RoutedFaults{Slow: 40 * time.Millisecond, LateRejection: 0.5})
+	shop := f.world.backends[shards*serversPerShard:][:shopServers]
+	for _, b := range shop {
+		b.server.SetFaults(fake.RoutedFaults{Slow: 60 * time.Millisecond, LateRejection: r.Float64()})
+	}
 	time.Sleep(d)
-	s.SetFaults(fake.RoutedFaults{})
+	for _, b := range shop {
+		b.server.SetFaults(fake.RoutedFaults{})
+	}
 	return nil
 }
 
