--- a/soak/process.go
+++ b/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/netip"
@@ -29,6 +30,8 @@
 	done    chan struct{}
 	// starts counts the starts, so that each exchange can be attributed to one of them.
 	starts int
+	// logStart is the size of the log when the current process was started.
+	logStart int64
 	// exitRequest is how the current process was requested to exit.
 	exitRequest exitRequest
 	// unexpectedExits lists exits that were not requested, and graceful exits with an exit code other than 0.
@@ -51,6 +54,11 @@
 func (p *process) start() error {
 	c := exec.CommandContext(context.Background(), p.binary, "node", "--config", p.settings)
 	c.Stdout, c.Stderr = p.log, p.log
+	info, err := p.log.Stat()
+	if err != nil {
+		return errors.Wrapf(err, "soak: log of %s", p.name)
+	}
+	p.logStart = info.Size()
 	if err := c.Start(); err != nil {
 		return errors.Wrapf(err, "soak: start %s", p.name)
 	}
@@ -63,13 +71,30 @@
 func (p *process) wait(c *exec.Cmd, done chan struct{}) {
 	err := c.Wait()
 	p.mu.Lock()
-	if p.exitRequest == exitNotRequested || p.exitRequest == exitGraceful && err != nil {
+	if p.exitRequest == exitNotRequested || p.exitRequest == exitGraceful && err != nil && !p.endedBeforeStart(err) {
 		p.unexpectedExits = append(p.unexpectedExits, p.name+": "+describe(err))
 	}
 	p.mu.Unlock()
 	close(done)
 }
 
+// startLine is in the first line that a node logs. It handles signals by then.
+const startLine = `"node starting"`
+
+// endedBeforeStart reports whether SIGTERM ended the process before its program began and could handle signals. The caller
+// must hold p.mu.
+func (p *process) endedBeforeStart(err error) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	if status, ok := exit.Sys().(syscall.WaitStatus); !ok || !status.Signaled() || status.Signal() != syscall.SIGTERM {
+		return false
+	}
+	log, err := os.ReadFile(p.log.Name())
+	return err == nil && int64(len(log)) >= p.logStart && !bytes.Contains(log[p.logStart:], []byte(startLine))
+}
+
 func describe(err error) string {
 	if err == nil {
 		return "exit code 0"
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -50,9 +50,11 @@
 		signals []syscall.Signal
 		broken  bool
 	}{
-		"finished": {"trap 'exit 0' TERM; mark; sleep 5 & wait", []syscall.Signal{syscall.SIGTERM}, false},
-		"cut off":  {"trap 'kill -9 $$' TERM; mark; sleep 5 & wait", []syscall.Signal{syscall.SIGTERM}, true},
-		"killed":   {"mark; exec sleep 5", []syscall.Signal{syscall.SIGKILL}, false},
+		"finished":                {"trap 'exit 0' TERM; mark; sleep 5 & wait", []syscall.Signal{syscall.SIGTERM}, false},
+		"cut off":                 {"trap 'kill -9 $$' TERM; mark; sleep 5 & wait", []syscall.Signal{syscall.SIGTERM}, true},
+		"ended before it started": {"mark; exec sleep 5", []syscall.Signal{syscall.SIGTERM}, false},
+		"ended after it started":  {"echo '\"node starting\"'; mark; exec sleep 5", []syscall.Signal{syscall.SIGTERM}, true},
+		"killed":                  {"mark; exec sleep 5", []syscall.Signal{syscall.SIGKILL}, false},
 		"stopped twice": {
 			"trap 'trap - TERM; mark; sleep 5 & wait' TERM; mark; sleep 5 & wait",
 			[]syscall.Signal{syscall.SIGTERM, syscall.SIGTERM},
