--- a/gather/server.go
+++ b/gather/server.go
@@ -165,7 +165,7 @@
 	usedAt time.Time
 }
 
-// maxClasses is the maximum number of classes of an engine, each of which takes about 46 KB. Routes come and go with the
+// maxClasses is the maximum number of classes of an engine, each of which takes 121 KB. Routes come and go with the
 // configuration.
 const maxClasses = 256
 
