Restart nodes in turn under load, and find the requests that they lose

Change: `arbutusthread roll` restarts nine nodes (4, 3 and 2 in three failure domains) as processes in turn, under 65 callers that follow the directory, keep its answer for three times as long, or stay on their connections. The check is the users' rule LOST: a request that has run or was sent more than 200 ms before, whose connection ends without an answer; excused are the deadline, a server that broke off, and a server at work in the last sixth of the stop time on a request of the first 3 s. The stand-in of a server now ends requests at the timeout that it is given, and records how long it has worked.

--- a/fake/routed.go
+++ b/fake/routed.go
@@ -31,6 +31,11 @@
 	Delay      time.Duration
 	LongPrefix string
 	LongDelay  time.Duration
+	// Work, if set, returns the processing time of each request instead. It is called concurrently.
+	Work func() time.Duration
+	// EnforceTimeout makes the server end a request at the timeout that it announces, with status 504 if it has
+	// started to run and as a rejection otherwise, and drop a queued request when its connection closes.
+	EnforceTimeout bool
 	// Records is the number of 16-byte records in a response; 0 means 8.
 	Records int
 	Seed    uint64
@@ -72,6 +77,12 @@
 	// the connection before the response.
 	Timeout  time.Duration
 	Canceled bool
+	// Work is the processing time of the request. Ended is the time at which the server stopped working on it, zero while
+	// it is running.
+	Work  time.Duration
+	Ended time.Time
+	// BrokenOff is set when the server ended the connection without a complete response.
+	BrokenOff bool
 }
 
 // RoutedServer is a stand-in for a backend server that handles routed requests. It responds to any method
--- a/fake/routed_answer.go
+++ b/fake/routed_answer.go
@@ -12,8 +12,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // routedRequestFaults holds the faults drawn for one request.
@@ -46,7 +44,12 @@
 	if target := r.Header.Get(names.Target); target != "" && target != id {
 		return s.write(c, r, http.StatusMisdirectedRequest, h, nil)
 	}
-	if !s.acquireSlot() {
+	deadline := s.deadline(r)
+	switch s.waitForSlot(c, in, deadline) {
+	case slotAcquired:
+	case slotCanceled:
+		return false
+	case slotRejected:
 		h.Set(names.NotRun, "1")
 		return s.write(c, r, http.StatusServiceUnavailable, h, nil) && s.repeatLate(c, r, h)
 	}
@@ -57,16 +60,22 @@
 		s.crash()
 		return false
 	}
-	if !s.simulateWork(c, in, run, d) || d.lose || d.hang {
+	if !s.simulateWork(c, in, run, d, deadline) || d.lose || d.hang {
+		s.setBrokenOff(run, d.lose)
 		reset(c)
 		return false
 	}
+	if !deadline.IsZero() && !time.Now().Before(deadline) {
+		h.Set(names.Seal, RoutedSeal(id, run.RequestID))
+		return s.write(c, r, http.StatusGatewayTimeout, h, nil)
+	}
 	if d.Cold > 0 {
 		h.Set(names.ColdRemaining, strconv.FormatInt(d.Cold.Milliseconds(), 10))
 	}
 	if d.fail {
 		return s.write(c, r, http.StatusInternalServerError, h, nil)
 	}
+	s.setBrokenOff(run, d.truncate)
 	return s.writeSuccess(c, r, h, d)
 }
 
@@ -92,28 +101,6 @@
 	return err == nil
 }
 
-// acquireSlot acquires a slot, waiting in the queue if necessary. It returns false when the queue is full.
-func (s *RoutedServer) acquireSlot() bool {
-	select {
-	case s.slots <- struct{}{}:
-		return true
-	default:
-	}
-	s.mu.Lock()
-	if s.waiting >= s.config.Queue {
-		s.shed++
-		s.mu.Unlock()
-		return false
-	}
-	s.waiting++
-	s.mu.Unlock()
-	s.slots <- struct{}{}
-	s.mu.Lock()
-	s.waiting--
-	s.mu.Unlock()
-	return true
-}
-
 func (s *RoutedServer) recordRun(r *http.Request, body []byte) *RoutedRun {
 	names := &s.config.Headers
 	left, _ := strconv.Atoi(r.Header.Get(names.Timeout))
@@ -127,30 +114,48 @@
 	return run
 }
 
-// simulateWork waits for the processing time of a request. It returns false if the sender has closed the
-// connection. It returns true early when further data arrives on the connection.
-func (s *RoutedServer) simulateWork(c net.Conn, in *bufio.Reader, run *RoutedRun, d routedRequestFaults) bool {
-	wait := s.config.Delay + d.Slow
-	if p := s.config.LongPrefix; p != "" && strings.HasPrefix(run.URI, p) {
-		wait = s.config.LongDelay
+// simulateWork waits for the processing time of a request, until the deadline at most. It returns false if the sender has
+// closed the connection. It returns true early when further data arrives on the connection.
+func (s *RoutedServer) simulateWork(
+	c net.Conn, in *bufio.Reader, run *RoutedRun, d routedRequestFaults, deadline time.Time,
+) bool {
+	work := s.workTime(run, d)
+	s.mu.Lock()
+	run.Work = work
+	s.mu.Unlock()
+	if !deadline.IsZero() {
+		work = min(work, max(0, time.Until(deadline)))
 	}
-	if d.hang {
-		wait = time.Minute
+	open := isOpenAfter(c, in, work)
+	s.mu.Lock()
+	run.Ended = time.Now()
+	s.mu.Unlock()
+	if open && d.hang {
+		open = isOpenAfter(c, in, time.Minute)
 	}
-	if wait <= 0 {
-		return true
+	if !open {
+		s.mu.Lock()
+		run.Canceled = true
+		s.mu.Unlock()
 	}
-	_ = c.SetReadDeadline(time.Now().Add(wait))
-	_, err := in.Peek(1)
-	_ = c.SetReadDeadline(time.Time{})
-	var n net.Error
-	if err == nil || errors.As(err, &n) && n.Timeout() {
-		return true
+	return open
+}
+
+func (s *RoutedServer) workTime(run *RoutedRun, d routedRequestFaults) time.Duration {
+	p := s.config.LongPrefix
+	switch {
+	case s.config.Work != nil:
+		return s.config.Work()
+	case p != "" && strings.HasPrefix(run.URI, p):
+		return s.config.LongDelay
 	}
+	return s.config.Delay + d.Slow
+}
+
+func (s *RoutedServer) setBrokenOff(run *RoutedRun, broken bool) {
 	s.mu.Lock()
-	run.Canceled = true
-	s.mu.Unlock()
-	return false
+	defer s.mu.Unlock()
+	run.BrokenOff = broken
 }
 
 // RoutedBody returns the response body of the server with the ID for the URI: the given number of 16-byte records.
--- a/main.go
+++ b/main.go
@@ -77,6 +77,7 @@
 		newTrial,
 		newDrill,
 		newSoak,
+		newRoll,
 		newReplay,
 	} {
 		x := c(s, flags)
--- a/soak/process.go
+++ b/soak/process.go
@@ -3,15 +3,19 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/netip"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/arbutusthread/arbutusthread/conf"
 )
 
 // process is one node process. Faults that end it restart it.
@@ -50,6 +54,24 @@
 	exitForced
 )
 
+// startFirst writes the settings and creates the log in a directory, and starts the process.
+func (p *process) startFirst(dir string, s *conf.Settings) error {
+	b, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "soak: settings")
+	}
+	p.settings = filepath.Join(dir, p.name+".json")
+	if err := os.WriteFile(p.settings, b, 0o600); err != nil {
+		return errors.Wrap(err, "soak: settings")
+	}
+	if p.log, err = os.Create(filepath.Join(dir, p.name+".log")); err != nil {
+		return errors.Wrap(err, "soak: log of a node")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.start()
+}
+
 // start starts the process. The caller must hold p.mu.
 func (p *process) start() error {
 	c := exec.CommandContext(context.Background(), p.binary, "node", "--config", p.settings)
--- a/soak/world.go
+++ b/soak/world.go
@@ -1,14 +1,11 @@
 package soak
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -100,13 +97,9 @@
 	if w.platform, err = fake.NewPlatform(fake.PlatformConfig{Document: w.document}); err != nil {
 		return w, err
 	}
-	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		return w, errors.Wrap(err, "soak: listen for the platform")
+	if w.platformServer, w.platformAddress, err = servePlatform(w.platform); err != nil {
+		return w, err
 	}
-	w.platformAddress = l.Addr().(*net.TCPAddr).AddrPort()
-	w.platformServer = &http.Server{Handler: w.platform, ReadHeaderTimeout: time.Minute}
-	go func() { _ = w.platformServer.Serve(l) }()
 	return w, w.startNodes()
 }
 
@@ -203,23 +196,31 @@
 func (w *world) update(change func(*conf.Document)) (uint64, time.Time, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	raw, err := json.Marshal(w.document)
+	next, err := copyDocument(w.document)
 	if err != nil {
-		return 0, time.Time{}, errors.Wrap(err, "soak: copy document")
-	}
-	var next conf.Document
-	if err := json.Unmarshal(raw, &next); err != nil {
-		return 0, time.Time{}, errors.Wrap(err, "soak: copy document")
+		return 0, time.Time{}, err
 	}
-	change(&next)
+	change(next)
 	next.Version++
-	if err := w.platform.Publish(&next); err != nil {
+	if err := w.platform.Publish(next); err != nil {
 		return 0, time.Time{}, err
 	}
-	w.document = &next
+	w.document = next
 	return next.Version, time.Now(), nil
 }
 
+func copyDocument(d *conf.Document) (*conf.Document, error) {
+	raw, err := json.Marshal(d)
+	if err != nil {
+		return nil, errors.Wrap(err, "soak: copy document")
+	}
+	var next conf.Document
+	if err := json.Unmarshal(raw, &next); err != nil {
+		return nil, errors.Wrap(err, "soak: copy document")
+	}
+	return &next, nil
+}
+
 // startNodes starts each node on a separate loopback address, because nodes are identified by their address and
 // all use the same ports.
 func (w *world) startNodes() error {
@@ -262,21 +263,8 @@
 }
 
 func (w *world) startNode(n *process, s *conf.Settings) error {
-	b, err := json.MarshalIndent(s, "", " ")
-	if err != nil {
-		return errors.Wrap(err, "soak: settings")
-	}
-	n.settings = filepath.Join(w.dir, n.name+".json")
-	if err := os.WriteFile(n.settings, b, 0o600); err != nil {
-		return errors.Wrap(err, "soak: settings")
-	}
-	if n.log, err = os.Create(filepath.Join(w.dir, n.name+".log")); err != nil {
-		return errors.Wrap(err, "soak: log of a node")
-	}
 	w.nodes = append(w.nodes, n)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.start()
+	return n.startFirst(w.dir, s)
 }
 
 func (w *world) close() {
