Serve the connections that are new when a stopping node closes its listener

What callers saw: at 0.6 of the stop time, requests on connections that they had just opened were reset or ended without an answer.

Cause, three ways of one class (a connection is judged unused by what the node has seen of it, while the request is on its way): 1. Close of the listener: the kernel resets the connections whose handshake it has completed and that the process has not accepted. In a traced run the lost connection (by its local port) was never accepted. 2. The first check for idle connections: it closed a connection that was 16 ms old and had not carried its first request yet. 3. A connection whose headers net/http had read, but which it had not yet reported as active: the past read deadline of closeIdle made the read of the body fail, and the caller got 400.

Change: the listener drains: it accepts what is pending and then closes. Shutdown waits until the last connection has been accepted, and leaves new connections 500 ms for their first request. A request on a connection that was told to close gets its read deadline cleared. The past deadline is set at each check, because net/http sets its own after the state has become idle.

--- a/front/run.go
+++ b/front/run.go
@@ -90,7 +90,7 @@
 }
 
 // shutDown shuts the node down gracefully.
-func (r *Runtime) shutDown(ctx context.Context, callers net.Listener) error {
+func (r *Runtime) shutDown(ctx context.Context, callers *listener) error {
 	begin := time.Now()
 	stopTime := r.StopTime
 	if stopTime <= 0 {
@@ -102,7 +102,7 @@
 	clock.Sleep(ctx, time.Until(at(drainStartShare)))
 	r.Server.Drain()
 	clock.Sleep(ctx, time.Until(at(acceptStopShare)))
-	_ = callers.Close()
+	callers.drain()
 	ctx, cancel := context.WithDeadline(ctx, at(abortShare))
 	defer cancel()
 	if err := r.Server.Shutdown(ctx); err != nil {
@@ -122,8 +122,3 @@
 	}
 	return nil
 }
-
-func listen(a netip.AddrPort) (net.Listener, error) {
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a))
-	return l, errors.Wrapf(err, "front: listen on %s", a)
-}
--- a/front/server.go
+++ b/front/server.go
@@ -26,6 +26,9 @@
 	idleGrace = 2 * time.Second
 	// drainCheckInterval is the interval between checks for idle connections during shutdown.
 	drainCheckInterval = 20 * time.Millisecond
+	// firstRequestTime is the time for which a new connection is kept open for its first request during shutdown. Callers
+	// open connections to send a request at once.
+	firstRequestTime = 500 * time.Millisecond
 )
 
 // Server is the HTTP server for callers on one listener.
@@ -33,18 +36,28 @@
 	http     *http.Server
 	limits   func() table.Limits
 	draining atomic.Bool
+	// served is closed when the last connection has been accepted.
+	served chan struct{}
 
 	mu sync.Mutex
-	// idle maps each connection without a request to the time since which it has been idle. open is the
-	// number of all connections.
-	idle map[net.Conn]time.Time
+	// idle holds the connections without a request. open is the number of all connections.
+	idle map[net.Conn]*idleConn
 	open int
 }
 
+// idleConn is the state of a connection without a request.
+type idleConn struct {
+	since time.Time
+	// fresh is set until the first request.
+	fresh bool
+	// expired is set when net/http has been made to close the connection.
+	expired bool
+}
+
 // NewServer returns a Server for a handler. limits is called at each check for idle connections, because the
 // limits may change.
 func NewServer(h http.Handler, limits func() table.Limits, log *slog.Logger) *Server {
-	s := &Server{limits: limits, idle: make(map[net.Conn]time.Time)}
+	s := &Server{limits: limits, served: make(chan struct{}), idle: make(map[net.Conn]*idleConn)}
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(h, w, r) }),
 		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: table.DefaultHeaderTimeout,
@@ -80,13 +93,17 @@
 	switch state {
 	case http.StateNew:
 		s.open++
-		s.idle[c] = time.Now()
+		s.idle[c] = &idleConn{since: time.Now(), fresh: true}
 	case http.StateIdle:
-		s.idle[c] = time.Now()
+		s.idle[c] = &idleConn{since: time.Now()}
 	case http.StateClosed, http.StateHijacked:
 		s.open--
 		delete(s.idle, c)
 	default:
+		if k := s.idle[c]; k != nil && k.expired {
+			// net/http had read the headers before closeIdle. With the past read deadline it could not read the body.
+			_ = c.SetReadDeadline(time.Time{})
+		}
 		delete(s.idle, c)
 	}
 }
@@ -99,6 +116,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
 	defer stop()
 	go s.reapIdle(ctx)
+	defer close(s.served)
 	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return errors.Wrapf(err, "front: serve on %s", l.Addr())
 	}
@@ -109,14 +127,18 @@
 func (s *Server) Drain() { s.draining.Store(true) }
 
 // Shutdown closes connections as they become idle and returns when none is open. It returns an error if ctx
-// ends first. The listener must already be closed. A connection on which a request has arrived stays open
+// ends first. The listener must have been closed or be draining. A connection on which a request has arrived stays open
 // until the response is written.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.Drain()
+	select {
+	case <-s.served:
+	case <-ctx.Done():
+	}
 	t := time.NewTicker(drainCheckInterval)
 	defer t.Stop()
 	for {
-		s.closeIdle(time.Now(), 0)
+		s.closeIdle(time.Now(), 0, firstRequestTime)
 		s.mu.Lock()
 		open := s.open
 		s.mu.Unlock()
@@ -146,21 +168,27 @@
 			if limit <= 0 {
 				limit = table.DefaultIdleTimeout
 			}
-			s.closeIdle(now, limit+idleGrace)
+			s.closeIdle(now, limit+idleGrace, limit+idleGrace)
 		}
 	}
 }
 
-// closeIdle closes connections that have been idle for longer than the limit.
-func (s *Server) closeIdle(now time.Time, limit time.Duration) {
+// closeIdle closes connections that have been idle for longer than the limit, and those without a first request after
+// freshLimit.
+func (s *Server) closeIdle(now time.Time, limit, freshLimit time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c, since := range s.idle {
-		if now.Sub(since) > limit && !hasUnreadData(c) {
+	for c, k := range s.idle {
+		most := limit
+		if k.fresh {
+			most = freshLimit
+		}
+		if now.Sub(k.since) > most && !hasUnreadData(c) {
 			// net/http closes the connection when its read of the next request times out. Closing the
 			// connection here could abort a request that has just been read.
+			// The deadline is set again at each check, since net/http sets its own when a connection has just become idle.
 			_ = c.SetReadDeadline(time.Unix(1, 0))
-			delete(s.idle, c)
+			k.expired = true
 		}
 	}
 }
