--- a/soak/run_test.go
+++ b/soak/run_test.go
@@ -23,10 +23,7 @@
 // command "arbutusthread soak" runs more seeds for longer.
 func TestShortRun(t *testing.T) {
 	is := is.New(t)
-	binary := filepath.Join(t.TempDir(), "arbutusthread")
-	build := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "..")
-	build.Stderr = os.Stderr
-	is.NoErr(build.Run())
+	binary := buildBinary(t)
 	for _, c := range shortRuns {
 		c.Binary, c.Dir, c.Log = binary, os.TempDir(), slog.New(slog.DiscardHandler)
 		r, err := Run(t.Context(), c)
@@ -35,3 +32,13 @@
 		is.Equal(r.Broken, nil)
 	}
 }
+
+// buildBinary builds the program under test.
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "arbutusthread")
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "..")
+	build.Stderr = os.Stderr
+	is.New(t).NoErr(build.Run())
+	return binary
+}
