End the process of a stopping node in time although another node has an unused connection to it

Cause: at its end a node shuts its HTTP server for other nodes down with net/http's Shutdown. That waits for connections without a request until they are 5 s old, and HTTP clients of other nodes open connections ahead. The wait was not bounded by the stop time either, so that SIGKILL ended the process.

Change: Run waits only for connections with a request in flight, and in a planned stop not beyond the time by which requests end. Leave takes that time.

--- a/node/node.go
+++ b/node/node.go
@@ -202,7 +202,7 @@
 func (n *Node) Leave(end time.Time) {
 	if n.stopping.CompareAndSwap(false, true) {
 		n.stopRequestsAt(end)
-		n.peer.Leave()
+		n.peer.Leave(end)
 	}
 }
 
--- a/peer/datagram_test.go
+++ b/peer/datagram_test.go
@@ -89,7 +89,7 @@
 	eventually(t, "both nodes know each other", func() bool { return len(a.Members()) == 2 && len(b.Members()) == 2 })
 	note := fleet.Note{ID: "n", Kind: "mark", Body: json.RawMessage(`{"Fingerprint":"f"}`), Expires: time.Now().Add(time.Hour).UTC()}
 	is.NoErr(a.Publish(note))
-	a.Leave()
+	a.Leave(time.Time{})
 	var got fleet.Note
 	left := false
 	for end := time.After(eventuallyTimeout); !left || got.ID == ""; {
--- a/peer/node.go
+++ b/peer/node.go
@@ -21,8 +21,6 @@
 	receiveBuffer = 1 << 20
 	// maxReceiveFailures is the number of consecutive receive errors that Run tolerates; the next one ends it.
 	maxReceiveFailures = 1000
-	// shutdownTimeout is how long Run waits for HTTP requests in flight before it closes their connections.
-	shutdownTimeout = 5 * time.Second
 	// maxConcurrentPulls is the maximum number of concurrent pulls from peers.
 	maxConcurrentPulls = 2
 )
@@ -35,6 +33,7 @@
 	socket      *net.UDPConn
 	listener    net.Listener
 	server      *http.Server
+	conns       activeConns
 	counters    counters
 	pullPermits chan struct{}
 	goroutines  sync.WaitGroup
@@ -44,6 +43,8 @@
 	fleet  *fleet.Node
 	events []fleet.Event
 	wake   chan struct{}
+	// stopEnd is the time by which requests end in a planned stop, zero if there is no limit.
+	stopEnd time.Time
 }
 
 // New opens the TCP and the UDP socket at the address of the member. Call Run to serve them; Run also closes them.
@@ -61,6 +62,7 @@
 	n := &Node{
 		config: c, socket: socket, listener: listener,
 		pullPermits: make(chan struct{}, maxConcurrentPulls), wake: make(chan struct{}, 1), clock: newClock(),
+		conns: activeConns{active: make(map[net.Conn]bool)},
 	}
 	n.fleet = fleet.New(fleet.Config{Member: c.Member, Start: n.clock.base, Codec: c.Codec, Heartbeat: c.Heartbeat}, n.clock.base)
 	n.Client = newClient(c)
@@ -104,12 +106,7 @@
 		running--
 	}
 	cancel()
-	stop, done := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
-	defer done()
-	if n.server.Shutdown(stop) != nil {
-		n.server.Close()
-	}
-	n.listener.Close()
+	n.shutDownServer()
 	n.socket.Close()
 	for range running {
 		err = errors.CombineErrors(err, <-failed)
@@ -283,9 +280,6 @@
 	n.runStep(func(now time.Time) []fleet.Output { return n.fleet.SetStatus(now, s) })
 }
 
-// Leave announces to the other nodes that this node will shut down.
-func (n *Node) Leave() { n.runStep(n.fleet.Leave) }
-
 // Publish broadcasts a note to all members. The local node reports it as an event, too. The error is that of
 // fleet.Node.Publish.
 func (n *Node) Publish(k fleet.Note) error {
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -52,6 +53,7 @@
 	return &http.Server{
 		Handler: mux, TLSConfig: n.config.ServerTLS, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: serverIdleTimeout,
+		ConnState: n.conns.track,
 		// An empty map disables HTTP/2. With one request at a time on a connection, the client can determine
 		// whether bytes of a request were written.
 		TLSNextProto: make(map[string]func(*http.Server, *tls.Conn, http.Handler)),
@@ -69,7 +71,7 @@
 	} else {
 		err = n.server.Serve(n.listener)
 	}
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return errors.Wrap(err, "peer: serve HTTP")
--- a/serve/stop.go
+++ b/serve/stop.go
@@ -24,7 +24,7 @@
 		return
 	}
 	n.log.Info("stopping", "Name", n.settings.Name)
-	n.peer.Leave()
+	n.peer.Leave(time.Time{})
 	n.orders.stopIssuing()
 	begin := time.Now()
 	for ctx.Err() == nil && time.Since(begin) < stopTimeout && !n.idle() {
