Carry queries with bytes that are not UTF-8 to relays

Cause: queries between nodes are CBOR, in which text must be UTF-8 by default when it is decoded. The relay answered 400, which counts as a failure of the relay. The same held for seals of servers in its answer.

Change: both sides decode text of any bytes. Evidence: TestGatherCarriesBytesThatAreNotUTF8 failed with "status 400".

--- a/peer/gather.go
+++ b/peer/gather.go
@@ -29,6 +29,18 @@
 	maxFrameBytes = 4 << 20
 )
 
+// gatherDecoder accepts text that is not UTF-8, because paths and headers of callers and seals of servers may hold any
+// bytes.
+var gatherDecoder = newGatherDecoder()
+
+func newGatherDecoder() cbor.DecMode {
+	m, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return m
+}
+
 // Gather sends a query to a relay and calls part for each part of the response until the relay ends the stream.
 // Errors are of type *wire.Failure. Forwarded is false in an error if no byte of the request was written.
 func (k *Client) Gather(ctx context.Context, to netip.AddrPort, q *wire.GatherQuery, part func(wire.GatherPart)) error {
@@ -87,7 +99,7 @@
 	}
 	for _, k := range keys {
 		if hmac.Equal(head[4:], frameMAC(k, auth, n, body)) {
-			return p, errors.Wrap(cbor.Unmarshal(body, &p), "peer: decode frame")
+			return p, errors.Wrap(gatherDecoder.Unmarshal(body, &p), "peer: decode frame")
 		}
 	}
 	return p, errors.New("peer: frame is not signed by a fleet key")
@@ -110,7 +122,7 @@
 		return
 	}
 	var q wire.GatherQuery
-	if err := cbor.Unmarshal(body, &q); err != nil {
+	if err := gatherDecoder.Unmarshal(body, &q); err != nil {
 		n.config.Log.Warn("peer: gather query cannot be decoded", "peer", r.RemoteAddr, "error", err)
 		w.WriteHeader(http.StatusBadRequest)
 		return
