Answer requests whose handler panics

What callers would see: a panic in a handler closes the connection without an answer, although a server may have run the request, and net/http's line about it is logged at DEBUG, below the level of the nodes.

Change: the request gets 502, and the panic is logged as an error with its stack. A response that has begun is still cut off, so that it does not look complete.

--- a/front/server.go
+++ b/front/server.go
@@ -35,6 +35,7 @@
 type Server struct {
 	http     *http.Server
 	limits   func() table.Limits
+	log      *slog.Logger
 	draining atomic.Bool
 	// served is closed when the last connection has been accepted.
 	served chan struct{}
@@ -57,7 +58,7 @@
 // NewServer returns a Server for a handler. limits is called at each check for idle connections, because the
 // limits may change.
 func NewServer(h http.Handler, limits func() table.Limits, log *slog.Logger) *Server {
-	s := &Server{limits: limits, served: make(chan struct{}), idle: make(map[net.Conn]*idleConn)}
+	s := &Server{limits: limits, log: log, served: make(chan struct{}), idle: make(map[net.Conn]*idleConn)}
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(h, w, r) }),
 		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: table.DefaultHeaderTimeout,
@@ -68,21 +69,9 @@
 }
 
 func (s *Server) serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
-	h.ServeHTTP(&drainWriter{w, &s.draining}, r)
-}
-
-// drainWriter adds "Connection: close" to responses that begin while the server is draining.
-type drainWriter struct {
-	http.ResponseWriter
-	draining *atomic.Bool
-}
-
-// WriteHeader sends the status and the headers.
-func (w *drainWriter) WriteHeader(status int) {
-	if w.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	w.ResponseWriter.WriteHeader(status)
+	v := &responseWriter{ResponseWriter: w, draining: &s.draining}
+	defer v.answerPanic(s.log)
+	h.ServeHTTP(v, r)
 }
 
 // trackConnState records when connections become idle. The idle timeout of net/http is not used because it
