Write warnings before the log call returns

Cause: all lines were written in batches of 50 ms, so a process that was killed lost its last lines, warnings among them.

Change: a line above INFO waits until it and the lines before it are written, at most 50 ms. If the output is stuck, one call waits that long and the others do not wait until the output accepts data again.

--- a/logs/logs.go
+++ b/logs/logs.go
@@ -1,6 +1,7 @@
-// Package logs writes structured logs without blocking the code that logs. It limits the volume:
-// lines above a rate limit are dropped and counted, and so are lines for which the buffer has no room
-// because the output is too slow.
+// Package logs writes structured logs without blocking the code that logs on a slow output. Lines of level
+// INFO and below are written in batches. Lines above reach the output before the log call returns, so that
+// they survive if the process is killed. The volume is limited: lines above a rate limit are dropped and
+// counted, and so are lines for which the buffer has no room because the output is too slow.
 package logs
 
 import (
@@ -9,6 +10,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,6 +27,9 @@
 	atomicWriteBytes = 4096
 	// closeTimeout is the maximum time that Close waits for the final flush.
 	closeTimeout = time.Second
+	// syncTimeout is the maximum time that a log call waits for the output. After a wait of this length no log call
+	// waits until the output accepts data again.
+	syncTimeout = 50 * time.Millisecond
 )
 
 // Config configures an Output.
@@ -39,8 +44,12 @@
 type Output struct {
 	config Config
 	wake   chan struct{}
+	// syncs passes the writer goroutine channels that it closes once all lines buffered before are written.
+	syncs  chan chan struct{}
 	closed chan struct{}
 	done   chan struct{}
+	// stuck is set while the output accepts no data.
+	stuck atomic.Bool
 
 	mu            sync.Mutex
 	pending       bytes.Buffer
@@ -56,7 +65,10 @@
 	if c.Rate <= 0 {
 		c.Rate = DefaultRate
 	}
-	o := &Output{config: c, wake: make(chan struct{}, 1), closed: make(chan struct{}), done: make(chan struct{})}
+	o := &Output{
+		config: c, wake: make(chan struct{}, 1), syncs: make(chan chan struct{}),
+		closed: make(chan struct{}), done: make(chan struct{}),
+	}
 	go o.run()
 	return o
 }
@@ -100,6 +112,29 @@
 	return len(line), nil
 }
 
+// sync waits until the buffered lines are written, at most syncTimeout and not at all while the output is stuck.
+func (o *Output) sync() {
+	if o.stuck.Load() {
+		return
+	}
+	t := time.NewTimer(syncTimeout)
+	defer t.Stop()
+	written := make(chan struct{})
+	select {
+	case o.syncs <- written:
+	case <-o.done:
+		return
+	case <-t.C:
+		o.stuck.Store(true)
+		return
+	}
+	select {
+	case <-written:
+	case <-t.C:
+		o.stuck.Store(true)
+	}
+}
+
 // allow counts a line of the given level against the rate limit and reports whether it may be written.
 func (o *Output) allow(level slog.Level, now time.Time) bool {
 	if level > slog.LevelInfo {
@@ -121,19 +156,25 @@
 func (o *Output) run() {
 	defer close(o.done)
 	var batch bytes.Buffer
+	wake := o.wake
+	var pause <-chan time.Time
 	for {
+		var written chan struct{}
 		select {
 		case <-o.closed:
 			o.flush(&batch)
 			return
-		case <-o.wake:
+		case written = <-o.syncs:
+		case <-wake:
+			wake, pause = nil, time.After(flushInterval)
+		case <-pause:
+			wake, pause = o.wake, nil
+			continue
 		}
 		o.flush(&batch)
-		select {
-		case <-o.closed:
-			o.flush(&batch)
-			return
-		case <-time.After(flushInterval):
+		o.stuck.Store(false)
+		if written != nil {
+			close(written)
 		}
 	}
 }
@@ -169,7 +210,7 @@
 	return len(b)
 }
 
-// handler drops lines above the rate limit before they are formatted.
+// handler drops lines above the rate limit before they are formatted, and waits for lines above level INFO.
 type handler struct {
 	output *Output
 	next   slog.Handler
@@ -183,7 +224,11 @@
 	if !h.output.allow(r.Level, r.Time) {
 		return nil
 	}
-	return h.next.Handle(ctx, r)
+	err := h.next.Handle(ctx, r)
+	if r.Level > slog.LevelInfo {
+		h.output.sync()
+	}
+	return err
 }
 
 // WithAttrs returns a handler that adds the attributes to each line.
