Log what becomes of each request at a planned stop

A stopping node did not say what it held, a request that was cut off had no line, and "caller disconnected" also covered connections that the node had closed.

Change: "node shutting down" has the numbers of requests and connections, "node stopped" how the requests ended. The state of the socket tells who closed the connection of a canceled request; if the caller has not, the line is a warning. A panic of a handler is an error line instead of a DEBUG line. The serving logic is unchanged.

--- a/front/answer.go
+++ b/front/answer.go
@@ -91,6 +91,10 @@
 		return
 	}
 	if _, err := w.Write(body); err != nil {
-		h.config.Log.Info("failed to write response", "RequestId", r.Header.Get(h.config.Headers.RequestID), "Error", err)
+		c := connOf(r.Context())
+		c.update(func(o *openRequest) { o.end = endDisconnected })
+		closed := c.closedBy()
+		h.config.Log.Info("failed to write response", "RequestId", r.Header.Get(h.config.Headers.RequestID), "Error", err,
+			"ClosedBy", closed.by, "Cause", closed.cause)
 	}
 }
--- a/front/handler.go
+++ b/front/handler.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/arbutusthread/arbutusthread/back"
+	"github.com/arbutusthread/arbutusthread/gather"
 	"github.com/arbutusthread/arbutusthread/meter"
 	"github.com/arbutusthread/arbutusthread/node"
 	"github.com/arbutusthread/arbutusthread/table"
@@ -27,6 +29,8 @@
 	Table() *table.Table
 	// Serve executes a request. It returns the error of ctx if the caller has disconnected.
 	Serve(ctx context.Context, r *node.Request) (node.Outcome, error)
+	// Progress returns the state of a request that is being served, and false for other requests.
+	Progress(r *node.Request) (node.Progress, bool)
 }
 
 // Config configures a Handler.
@@ -55,6 +59,8 @@
 // ServeHTTP serves one request. It panics with http.ErrAbortHandler if the caller disconnects.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
+	c := connOf(r.Context())
+	c.update(func(o *openRequest) { o.id = r.Header.Get(h.config.Headers.RequestID) })
 	t := h.config.Backend.Table()
 	if t == nil {
 		h.refuse(w, r, http.StatusServiceUnavailable, "no configuration is known yet", notReadyRetryAfter)
@@ -66,24 +72,72 @@
 		h.refuse(w, r, http.StatusNotFound, "no route matches", 0)
 		return
 	}
-	body, status := readBody(w, r, t.Config().Limits)
+	c.update(func(o *openRequest) { o.route = route.Name })
+	body, status, err := readBody(w, r, t.Config().Limits)
+	if err != nil {
+		h.logUnreadBody(r, c, err)
+	}
 	if status != 0 {
 		h.refuse(w, r, status, "the request cannot be read", 0)
 		return
 	}
 	q := h.newRequest(r, route, body, started)
 	q.Version = t.Config().Version
+	c.update(func(o *openRequest) { o.phase, o.backend, o.query = serving, h.config.Backend, q })
 	out, err := h.config.Backend.Serve(r.Context(), q)
 	if err != nil {
-		// The caller has disconnected, so no response can be written.
+		// The connection is closed, so no response can be written.
 		h.config.Metrics.Count("requests", "route", h.routeLabels.label(route.Name), "status", "left")
-		h.config.Log.Info("caller disconnected", "RequestId", q.Forward.RequestID, "Route", route.Name,
-			"Duration", time.Since(started))
+		h.logDisconnect(r.Context(), c, q, started)
 		panic(http.ErrAbortHandler)
 	}
+	c.update(func(o *openRequest) {
+		o.phase, o.mayHaveRun, o.end = writing, out.MayHaveRun || out.Answered > 0, requestEndOf(&out)
+	})
 	h.respond(w, r, q, &out, started)
 }
 
+// logDisconnect logs that the context of a request has ended before its answer, and who closed the connection. A request
+// that was cut off by an abort has been logged there.
+func (h *Handler) logDisconnect(ctx context.Context, c *callerConn, q *node.Request, started time.Time) {
+	closed := c.closedBy()
+	h.config.Metrics.Count("requests_disconnected", "by", closed.by)
+	if c.aborted() {
+		return
+	}
+	level, message := slog.LevelInfo, "caller disconnected"
+	if closed.by == closedByNode {
+		// The caller still waits for the answer.
+		level, message = slog.LevelWarn, "request canceled although the caller has not disconnected"
+	}
+	h.config.Log.Log(ctx, level, message, "RequestId", q.Forward.RequestID, "Route", q.Route.Name,
+		"Duration", time.Since(started), "ClosedBy", closed.by, "Cause", closed.cause)
+}
+
+// logUnreadBody logs that the body of a request cannot be read. The node sets no read deadline for bodies, so that a
+// timeout is that of the close of an idle connection.
+func (h *Handler) logUnreadBody(r *http.Request, c *callerConn, err error) {
+	closed := c.closedBy()
+	level := slog.LevelInfo
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		level = slog.LevelWarn
+	}
+	h.config.Log.Log(r.Context(), level, "failed to read request body", "RequestId", r.Header.Get(h.config.Headers.RequestID),
+		"Error", err, "ClosedBy", closed.by, "Cause", closed.cause)
+}
+
+// requestEndOf returns how a request with this outcome ends.
+func requestEndOf(out *node.Outcome) requestEnd {
+	switch {
+	case out.Stopped:
+		return endStopped
+	case out.End == gather.Refused:
+		return endRefused
+	default:
+		return endAnswered
+	}
+}
+
 func (h *Handler) newRequest(r *http.Request, route *table.Route, body []byte, now time.Time) *node.Request {
 	names := &h.config.Headers
 	var callerTimeout time.Duration
@@ -144,9 +198,9 @@
 	return min(margin, time.Duration(maxTargetMarginShare*float64(objective)))
 }
 
-// readBody reads the body of a request. It returns status 413 if the body exceeds the limit, 400 if reading
-// fails, and 0 otherwise.
-func readBody(w http.ResponseWriter, r *http.Request, l table.Limits) ([]byte, int) {
+// readBody reads the body of a request. It returns status 413 if the body exceeds the limit, 400 and the error if
+// reading fails, and 0 otherwise.
+func readBody(w http.ResponseWriter, r *http.Request, l table.Limits) ([]byte, int, error) {
 	limit := int64(l.BodyBytes)
 	if limit <= 0 {
 		limit = table.DefaultBodyBytes
@@ -155,24 +209,25 @@
 		// A caller whose connection is closed while it writes does not see the response, so read up to the
 		// limit first.
 		_, _ = io.CopyN(io.Discard, r.Body, limit)
-		return nil, http.StatusRequestEntityTooLarge
+		return nil, http.StatusRequestEntityTooLarge, nil
 	}
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, 0
+		return nil, 0, nil
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
+		return nil, http.StatusRequestEntityTooLarge, nil
 	case err != nil:
-		return nil, http.StatusBadRequest
+		return nil, http.StatusBadRequest, err
 	}
-	return body, 0
+	return body, 0, nil
 }
 
 // refuse writes the error response to a request that has not run.
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, status int, reason string, retryAfter time.Duration) {
+	connOf(r.Context()).update(func(o *openRequest) { o.phase, o.end = writing, endRefused })
 	if retryAfter > 0 {
 		w.Header().Set("Retry-After", formatSeconds(retryAfter))
 	}
--- a/front/run.go
+++ b/front/run.go
@@ -97,7 +97,9 @@
 		stopTime = defaultStopTime
 	}
 	at := func(share float64) time.Time { return begin.Add(time.Duration(share * float64(stopTime))) }
-	r.Log.Info("node shutting down", "StopTime", stopTime)
+	requests, connections := r.Server.conns.open()
+	before := r.Server.conns.endCounts()
+	r.Log.Info("node shutting down", "StopTime", stopTime, "Requests", requests, "Connections", connections)
 	r.Leave(at(answerShare))
 	clock.Sleep(ctx, time.Until(at(drainStartShare)))
 	r.Server.Drain()
@@ -106,10 +108,19 @@
 	ctx, cancel := context.WithDeadline(ctx, at(abortShare))
 	defer cancel()
 	if err := r.Server.Shutdown(ctx); err != nil {
+		_, connections = r.Server.conns.open()
 		r.Log.Warn("requests in flight aborted at the end of the stop time", "Error", err)
 		r.Server.Close()
+	} else {
+		connections = 0
 	}
-	r.Log.Info("node stopped", "After", time.Since(begin).Round(time.Millisecond))
+	ended := r.Server.conns.endCounts()
+	for i := range ended {
+		ended[i] -= before[i]
+	}
+	r.Log.Info("node stopped", "After", time.Since(begin).Round(time.Millisecond), "Answered", ended[endAnswered],
+		"Refused", ended[endRefused], "EndedByStop", ended[endStopped], "Disconnected", ended[endDisconnected],
+		"Aborted", ended[endAborted], "AbortedConnections", connections)
 	return nil
 }
 
--- a/front/server.go
+++ b/front/server.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -32,6 +33,8 @@
 type Server struct {
 	http     *http.Server
 	limits   func() table.Limits
+	log      *slog.Logger
+	conns    *connSet
 	draining atomic.Bool
 
 	mu sync.Mutex
@@ -44,17 +47,27 @@
 // NewServer returns a Server for a handler. limits is called at each check for idle connections, because the
 // limits may change.
 func NewServer(h http.Handler, limits func() table.Limits, log *slog.Logger) *Server {
-	s := &Server{limits: limits, idle: make(map[net.Conn]time.Time)}
+	s := &Server{limits: limits, log: log, conns: newConnSet(h), idle: make(map[net.Conn]time.Time)}
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(h, w, r) }),
 		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: table.DefaultHeaderTimeout,
-		IdleTimeout: time.Hour, ConnState: s.trackConnState, ConnContext: withCallerConn,
+		IdleTimeout: time.Hour, ConnState: s.trackConnState, ConnContext: s.conns.add,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	return s
 }
 
 func (s *Server) serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	c := connOf(r.Context())
+	c.begin()
+	defer func() {
+		if p := recover(); p != nil {
+			if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				s.log.Error("request caused a panic", "RequestId", c.requestID(), "Error", p, "Stack", string(debug.Stack()))
+			}
+			panic(p)
+		}
+	}()
 	h.ServeHTTP(&drainWriter{w, &s.draining}, r)
 }
 
@@ -75,6 +88,7 @@
 // trackConnState records when connections become idle. The idle timeout of net/http is not used because it
 // cannot be changed while the server is running.
 func (s *Server) trackConnState(c net.Conn, state http.ConnState) {
+	s.conns.track(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -96,8 +110,16 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		s.Close()
+	})
+	defer func() {
+		if !stop() {
+			<-closed
+		}
+	}()
 	go s.reapIdle(ctx)
 	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return errors.Wrapf(err, "front: serve on %s", l.Addr())
@@ -131,8 +153,12 @@
 	}
 }
 
-// Close closes all connections, including those with requests in flight.
-func (s *Server) Close() { _ = s.http.Close() }
+// Close closes all connections, including those with requests in flight, which it logs.
+func (s *Server) Close() {
+	cut := s.conns.abort(time.Now())
+	_ = s.http.Close()
+	cut.log(s.log)
+}
 
 func (s *Server) reapIdle(ctx context.Context) {
 	t := time.NewTicker(idleCheckInterval)
@@ -156,10 +182,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c, since := range s.idle {
-		if now.Sub(since) > limit && !hasUnreadData(c) {
+		if now.Sub(since) <= limit {
+			continue
+		}
+		s.conns.setCloseCause(c, s.draining.Load())
+		if !hasUnreadData(c) {
 			// net/http closes the connection when its read of the next request times out. Closing the
 			// connection here could abort a request that has just been read.
 			_ = c.SetReadDeadline(time.Unix(1, 0))
+			s.conns.countIdleClose(s.draining.Load())
 			delete(s.idle, c)
 		}
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/arbutusthread/arbutusthread/back"
@@ -32,6 +33,8 @@
 	gather.Finished
 	// Parts are the accepted answers.
 	Parts []*Part
+	// Stopped is set if the request expired before its deadline because the node stops.
+	Stopped bool
 }
 
 // Part is the answer of one server, or the merged answers of several servers from a relay.
@@ -58,6 +61,8 @@
 
 // call is a request in progress.
 type call struct {
+	// request is the request of a caller; it is nil for a request of another node.
+	request     *Request
 	job         gather.Request
 	forward     back.Forward
 	fingerprint guard.Fingerprint
@@ -67,6 +72,9 @@
 	parts []*Part
 	// deliveries holds the delivery state of each shard.
 	deliveries []delivery
+	// sends and relaySends are all attempts.
+	sends      []sentAttempt
+	relaySends []sentRelay
 	done       chan gather.Finished
 	// onProgress, if set, is called with Node.mu held when shards have been answered or have failed.
 	onProgress func(failed []int)
@@ -74,6 +82,19 @@
 	nextWake   time.Time
 }
 
+// sentAttempt is an attempt for a shard at a server, and sentRelay one at a relay.
+type (
+	sentAttempt struct {
+		id     gather.AttemptID
+		task   int
+		server string
+	}
+	sentRelay struct {
+		id      gather.RelayID
+		address netip.AddrPort
+	}
+)
+
 // Serve executes a request and returns its outcome. When ctx ends first, it abandons the request and returns the cause
 // of ctx.
 func (n *Node) Serve(ctx context.Context, r *Request) (Outcome, error) {
@@ -84,7 +105,7 @@
 		n.mu.Unlock()
 	}
 	c := &call{
-		forward: r.Forward, topK: r.Route.TopK,
+		request: r, forward: r.Forward, topK: r.Route.TopK,
 		job: gather.Request{
 			Class: r.Route.Name, Pools: pools, Idempotent: r.Route.Idempotent, MinCoverage: minCoverage(r.Route),
 			MaxAttempts: r.Route.Attempts(), Priority: r.Route.Priority, Deadline: r.Deadline, Target: r.Target,
@@ -93,13 +114,15 @@
 	}
 	c.forward.NonIdempotent = !r.Route.Idempotent
 	f, err := n.run(ctx, c)
-	return Outcome{Finished: f, Parts: uniqueParts(c.parts)}, err
+	stopped := n.stopping.Load() && f.End == gather.Expired && time.Now().Before(r.Deadline)
+	return Outcome{Finished: f, Parts: uniqueParts(c.parts), Stopped: stopped}, err
 }
 
 // run executes a call and waits for its result. When ctx ends first, it abandons the call and returns the cause of ctx.
 func (n *Node) run(ctx context.Context, c *call) (gather.Finished, error) {
 	c.parts = make([]*Part, len(c.job.Pools))
 	c.deliveries = make([]delivery, len(c.job.Pools))
+	c.sends = make([]sentAttempt, 0, len(c.job.Pools))
 	c.done = make(chan gather.Finished, 1)
 	c.fingerprint = fingerprintOf(&c.forward)
 	if f, refused := n.submit(c); refused {
@@ -159,6 +182,7 @@
 func (n *Node) perform(now time.Time, c *call, act gather.Actions) {
 	n.startAttempts(now, act)
 	for _, s := range act.Relays {
+		c.relaySends = append(c.relaySends, sentRelay{s.Relay, s.Address})
 		n.startRelay(now, c, s)
 	}
 	cancelAll(n.attempts, act.Cancels, 0)
@@ -187,6 +211,7 @@
 			n.scheduleTick(now, last)
 		}
 		if c != nil {
+			c.sends = append(c.sends, sentAttempt{s.Attempt, s.Task, s.Server.ID})
 			n.startAttempt(c, s)
 		}
 		last = c
--- a/node/status.go
+++ b/node/status.go
@@ -45,3 +45,47 @@
 	s.Servers = n.engine.Status(time.Now())
 	return s
 }
+
+// Progress is the state of a request that is being served.
+type Progress struct {
+	// Awaited are the servers and relays whose answers are awaited. It is empty while the request waits for capacity.
+	Awaited []string
+	// MayHaveRun is set if a server may have run the request or a part of it.
+	MayHaveRun bool
+}
+
+// Progress returns the state of a request that is being served, and false for other requests.
+func (n *Node) Progress(r *Request) (Progress, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.calls {
+		if c.request == r {
+			return n.progressOf(c), true
+		}
+	}
+	return Progress{}, false
+}
+
+// progressOf returns the state of a call. The caller holds n.mu.
+func (n *Node) progressOf(c *call) Progress {
+	var p Progress
+	for i := range c.parts {
+		p.MayHaveRun = p.MayHaveRun || c.parts[i] != nil || c.deliveries[i] == mayHaveRun
+	}
+	for _, s := range c.sends {
+		if n.attempts[s.id] == nil {
+			continue
+		}
+		p.MayHaveRun = true
+		if c.parts[s.task] == nil {
+			p.Awaited = append(p.Awaited, "server "+s.server)
+		}
+	}
+	for _, s := range c.relaySends {
+		if n.relays[s.id] != nil {
+			p.MayHaveRun = true
+			p.Awaited = append(p.Awaited, "relay "+s.address.String())
+		}
+	}
+	return p
+}
