--- a/front/idle_test.go
+++ b/front/idle_test.go
@@ -26,7 +26,7 @@
 func newIdleFixture(t *testing.T) *idleFixture {
 	f := &idleFixture{T: t, served: make(chan error, 1)}
 	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, status := readBody(w, r, table.Limits{})
+		body, status, _ := readBody(w, r, table.Limits{})
 		if status != 0 {
 			w.WriteHeader(status)
 			return
--- a/front/server.go
+++ b/front/server.go
@@ -36,6 +36,7 @@
 	http     *http.Server
 	limits   func() table.Limits
 	log      *slog.Logger
+	conns    *connSet
 	draining atomic.Bool
 	// served is closed when the last connection has been accepted.
 	served chan struct{}
@@ -58,25 +59,30 @@
 // NewServer returns a Server for a handler. limits is called at each check for idle connections, because the
 // limits may change.
 func NewServer(h http.Handler, limits func() table.Limits, log *slog.Logger) *Server {
-	s := &Server{limits: limits, log: log, served: make(chan struct{}), idle: make(map[net.Conn]*idleConn)}
+	s := &Server{
+		limits: limits, log: log, conns: newConnSet(h), served: make(chan struct{}), idle: make(map[net.Conn]*idleConn),
+	}
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(h, w, r) }),
 		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: table.DefaultHeaderTimeout,
-		IdleTimeout: time.Hour, ConnState: s.trackConnState, ConnContext: withCallerConn,
+		IdleTimeout: time.Hour, ConnState: s.trackConnState, ConnContext: s.conns.add,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 	}
 	return s
 }
 
 func (s *Server) serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	c := connOf(r.Context())
+	c.begin()
 	v := &responseWriter{ResponseWriter: w, draining: &s.draining}
-	defer v.answerPanic(s.log)
+	defer v.answerPanic(s.log, c)
 	h.ServeHTTP(v, r)
 }
 
 // trackConnState records when connections become idle. The idle timeout of net/http is not used because it
 // cannot be changed while the server is running.
 func (s *Server) trackConnState(c net.Conn, state http.ConnState) {
+	s.conns.track(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -102,8 +108,16 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		s.Close()
+	})
+	defer func() {
+		if !stop() {
+			<-closed
+		}
+	}()
 	go s.reapIdle(ctx)
 	defer close(s.served)
 	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
@@ -142,8 +156,12 @@
 	}
 }
 
-// Close closes all connections, including those with requests in flight.
-func (s *Server) Close() { _ = s.http.Close() }
+// Close closes all connections, including those with requests in flight, which it logs.
+func (s *Server) Close() {
+	cut := s.conns.abort(time.Now())
+	_ = s.http.Close()
+	cut.log(s.log)
+}
 
 func (s *Server) reapIdle(ctx context.Context) {
 	t := time.NewTicker(idleCheckInterval)
@@ -172,11 +190,18 @@
 		if k.fresh {
 			most = freshLimit
 		}
-		if now.Sub(k.since) > most && !hasUnreadData(c) {
+		if now.Sub(k.since) <= most {
+			continue
+		}
+		s.conns.setCloseCause(c, s.draining.Load())
+		if !hasUnreadData(c) {
 			// net/http closes the connection when its read of the next request times out. Closing the
 			// connection here could abort a request that has just been read.
 			// The deadline is set again at each check, since net/http sets its own when a connection has just become idle.
 			_ = c.SetReadDeadline(time.Unix(1, 0))
+			if !k.expired {
+				s.conns.countIdleClose(s.draining.Load())
+			}
 			k.expired = true
 		}
 	}
--- a/front/writer.go
+++ b/front/writer.go
@@ -29,7 +29,7 @@
 // answerPanic answers a request whose handler has panicked with 502, because a server may have run it. net/http would close
 // the connection without an answer. It must be deferred. Other panics than those of a handler that aborts its response are
 // logged.
-func (w *responseWriter) answerPanic(log *slog.Logger) {
+func (w *responseWriter) answerPanic(log *slog.Logger, c *callerConn) {
 	v := recover()
 	if v == nil {
 		return
@@ -37,7 +37,7 @@
 	if err, ok := v.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(v)
 	}
-	log.Error("handler panicked", "Panic", v, "Stack", string(debug.Stack()))
+	log.Error("request caused a panic", "RequestId", c.requestID(), "Error", v, "Stack", string(debug.Stack()))
 	if w.begun {
 		panic(http.ErrAbortHandler)
 	}
