Show that a peer's unused connection prolongs a stop

Cause: when all callers have been answered, peer.Node.Run shuts its HTTP server down with a timeout of 5 s of its own, whatever is left of the stop time. net/http waits for a connection without a request until it is 5 s old.

Change: a failing test, not mended here.

All requests of callers are answered before.

--- a/stop_test.go
+++ b/stop_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net"
 	"net/http"
 	"os"
 	"runtime"
@@ -307,3 +308,16 @@
 		return counts["/lookup/ 200"] > 0
 	}
 }
+
+// Guards against a stop that takes longer than its time although all callers have been answered, and ends with SIGKILL: a
+// peer has opened a connection and sends nothing on it.
+func TestStopWithSilentPeerConnection(t *testing.T) {
+	t.Parallel()
+	w := newStopWorld(t, buildNode(t), 230)
+	stopUnderLoad(w, func(n *stopNode) {
+		time.Sleep(4 * time.Second)
+		c, err := net.Dial("tcp", n.settings.PeerAddress.String()) //nolint:noctx // loopback
+		w.must(err)
+		w.Cleanup(func() { c.Close() })
+	})
+}
