Show that unread output prolongs a stop

Cause: logs.Output.Close waits up to 1 s for its last lines, after a stop that may take 0.95 of its time.

Change: a failing test, not mended here.

--- a/stop_test.go
+++ b/stop_test.go
@@ -321,3 +321,14 @@
 		w.Cleanup(func() { c.Close() })
 	})
 }
+
+// Guards against a stop that takes longer than its time because nobody reads the output of the process.
+func TestStopWithBlockedOutput(t *testing.T) {
+	t.Parallel()
+	w := newStopWorld(t, buildNode(t), 231)
+	r, out, err := os.Pipe()
+	w.must(err)
+	defer r.Close()
+	w.output = out
+	stopUnderLoad(w, func(*stopNode) {})
+}
--- a/stop_world_test.go
+++ b/stop_world_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -59,6 +60,8 @@
 	frozenFrom, frozenTo time.Time
 	// variables are added to the environment of the nodes.
 	variables []string
+	// output, if set, receives the output of the nodes instead of their logs.
+	output *os.File
 }
 
 // stopNode is one node process.
@@ -197,7 +200,7 @@
 	log, err := os.Create(n.log)
 	w.must(err)
 	n.command = exec.Command(w.binary, "node", "--config", n.file) //nolint:noctx // the cases end it by signals
-	n.command.Stdout, n.command.Stderr, n.command.Env = log, log, append(os.Environ(), w.variables...)
+	n.command.Stdout, n.command.Stderr, n.command.Env = cmp.Or(w.output, log), log, append(os.Environ(), w.variables...)
 	w.must(n.command.Start())
 	go func() {
 		n.err = n.command.Wait()
