Show that a reloaded stop time is not used

Cause: SIGHUP reloads the bounds, but nodeCommand hands the stop time of the start to front.Runtime.

Change: a failing test, not mended here.

--- a/stop_test.go
+++ b/stop_test.go
@@ -332,3 +332,26 @@
 	w.output = out
 	stopUnderLoad(w, func(*stopNode) {})
 }
+
+// Guards against a stop by the stop time of the start when SIGHUP has announced settings with a shorter one.
+func TestStopTimeFromReloadedSettings(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const shorter = 3 * time.Second
+	w := newStopWorld(t, buildNode(t), 232)
+	n := w.startReady("Lukang")[0]
+	n.settings.Bounds.StopTime = wire.Duration(shorter)
+	w.writeSettings(n)
+	n.signal(syscall.SIGHUP)
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(n.logged(`"settings reloaded"`), 1)
+	var s exchanges
+	s.sendOnce(w, n, "/silent/")
+	time.Sleep(100 * time.Millisecond)
+	begin := time.Now()
+	n.signal(syscall.SIGTERM)
+	took := w.awaitStop(n, begin)
+	t.Logf("process ended %s after SIGTERM", took.Round(time.Millisecond))
+	s.check(w)
+	is.True(took < shorter)
+}
