End a stopping process in time although nobody reads its output

Cause: the log output waited up to 1 s for its last lines, after a stop that may take 0.95 of the stop time of 6 s, so that SIGKILL ended the process. Callers had their answers before.

Change: the wait is at most 100 ms.

--- a/logs/logs.go
+++ b/logs/logs.go
@@ -25,8 +25,9 @@
 	// atomicWriteBytes is PIPE_BUF of Linux: writes to a pipe up to this size are atomic, so they are not
 	// interleaved with those of other processes.
 	atomicWriteBytes = 4096
-	// closeTimeout is the maximum time that Close waits for the final flush.
-	closeTimeout = time.Second
+	// closeTimeout is the maximum time that Close waits for the final flush. It is short because a process that stops has
+	// little time left, and nobody may be reading its output.
+	closeTimeout = 100 * time.Millisecond
 	// syncTimeout is the maximum time that a log call waits for the output. After a wait of this length no log call
 	// waits until the output accepts data again.
 	syncTimeout = 50 * time.Millisecond
@@ -86,7 +87,7 @@
 	return o.dropped
 }
 
-// Close flushes the buffer and stops the writer. It waits at most one second.
+// Close flushes the buffer and stops the writer. It waits at most closeTimeout.
 func (o *Output) Close() {
 	close(o.closed)
 	select {
