Use the stop time of reloaded settings

What callers would see: after a reload of settings with a shorter stop time, a stop took the longer time of the start. SIGKILL then cut the requests in flight.

Cause: the stop time was read once, at the start, while SIGHUP reloads the bounds.

Change: the stop asks the node for the stop time of its current settings.

--- a/front/ending_world_test.go
+++ b/front/ending_world_test.go
@@ -134,7 +134,7 @@
 		_ = Serve(ctx, &Runtime{
 			CallerAddress: n.caller, Server: NewServer(handler, func() table.Limits { return table.Limits{} }, nopLog),
 			Run:   func(ctx context.Context) error { <-ctx.Done(); return nil },
-			Leave: func(time.Time) {}, StopTime: endingStopTime, Log: nopLog,
+			Leave: func(time.Time) {}, StopTime: func() time.Duration { return endingStopTime }, Log: nopLog,
 		})
 		n.ended <- time.Now()
 	}()
--- a/front/fleet_test.go
+++ b/front/fleet_test.go
@@ -107,7 +107,7 @@
 	r := &runningNode{Node: n, caller: settings.CallerAddress, stop: stop, stopped: make(chan error, 1)}
 	go func() {
 		r.stopped <- Serve(ctx, &Runtime{
-			CallerAddress: settings.CallerAddress, Run: n.Run, Leave: n.Leave, StopTime: settings.Bounds.StopTime.Std(), Log: nopLog,
+			CallerAddress: settings.CallerAddress, Run: n.Run, Leave: n.Leave, StopTime: n.StopTime, Log: nopLog,
 			Server: NewServer(handler, func() table.Limits { return table.Limits{} }, nopLog),
 		})
 	}()
--- a/front/run.go
+++ b/front/run.go
@@ -48,8 +48,10 @@
 	// Run runs the node behind the listeners until its context ends.
 	Run func(ctx context.Context) error
 	// Leave announces a graceful shutdown to the other nodes. All requests must be answered by the given time.
-	Leave    func(end time.Time)
-	StopTime time.Duration
+	Leave func(end time.Time)
+	// StopTime returns the time within which the process must have ended after SIGTERM. It is called at the stop, because
+	// a reload of the settings may change it.
+	StopTime func() time.Duration
 	Log      *slog.Logger
 }
 
@@ -92,7 +94,7 @@
 // shutDown shuts the node down gracefully.
 func (r *Runtime) shutDown(ctx context.Context, callers *listener) error {
 	begin := time.Now()
-	stopTime := r.StopTime
+	stopTime := r.StopTime()
 	if stopTime <= 0 {
 		stopTime = defaultStopTime
 	}
--- a/front/stoplog_test.go
+++ b/front/stoplog_test.go
@@ -95,7 +95,7 @@
 	}
 	go func() {
 		n.stopped <- Serve(ctx, &Runtime{
-			CallerAddress: n.caller, Server: n.server, Leave: leave, StopTime: f.stopTime, Log: log,
+			CallerAddress: n.caller, Server: n.server, Leave: leave, StopTime: func() time.Duration { return f.stopTime }, Log: log,
 			Run: func(ctx context.Context) error { <-ctx.Done(); return nil },
 		})
 	}()
--- a/node.go
+++ b/node.go
@@ -81,7 +81,7 @@
 			{Address: settings.OpsAddress, Handler: front.OpsHandler(n, log)},
 			{Address: settings.MetricsAddress, Handler: front.OpsHandler(n, log)},
 		},
-		Run: n.Run, Leave: n.Leave, StopTime: settings.Bounds.StopTime.Std(), Log: log,
+		Run: n.Run, Leave: n.Leave, StopTime: n.StopTime, Log: log,
 	})
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -216,6 +216,9 @@
 	}
 }
 
+// StopTime returns the time within which the node must stop, by its current settings; 0 means that they have none.
+func (n *Node) StopTime() time.Duration { return n.settings.Load().Bounds.StopTime.Std() }
+
 // setBlind publishes to the other nodes whether this one can read the platform.
 func (n *Node) setBlind(blind bool) {
 	n.statusMu.Lock()
