Let a caller receive its last answer although it has sent further bytes

What callers saw: at a stop, an answer of 256 KiB ended early for a caller that had sent its next request before it had read the answer.

Cause: the answer of a stopping node closes the connection. The kernel resets a connection that is closed with unread data and drops the part of the answer that the caller has not received.

An abort closes at once.

--- a/front/conn.go
+++ b/front/conn.go
@@ -73,7 +73,7 @@
 // newCallerConn returns the state for a connection. Its raw connection is nil if it is not a TCP connection.
 func newCallerConn(c net.Conn) *callerConn {
 	v := &callerConn{}
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(syscall.Conn); ok {
 		if raw, err := t.SyscallConn(); err == nil {
 			v.raw = raw
 		}
@@ -361,6 +361,9 @@
 	a := abortion{connections: len(s.conns)}
 	for c, v := range s.conns {
 		s.count("connections_closed", "reason", "abort")
+		if k, ok := c.(*lingeringConn); ok {
+			k.aborted.Store(true)
+		}
 		r, open := v.abort()
 		if !open {
 			if hasUnreadData(c) {
--- a/front/listen.go
+++ b/front/listen.go
@@ -33,9 +33,12 @@
 // Accept returns the next connection, and net.ErrClosed after drain if none is pending.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.TCPListener.Accept()
+		c, err := l.AcceptTCP()
+		if err == nil {
+			return &lingeringConn{TCPConn: c}, nil
+		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return c, err
+			return nil, err
 		}
 		if !l.hasPending() {
 			_ = l.Close()
--- a/front/server.go
+++ b/front/server.go
@@ -209,7 +209,7 @@
 
 // hasUnreadData reports whether the receive buffer of a TCP connection holds unread bytes.
 func hasUnreadData(c net.Conn) bool {
-	t, ok := c.(*net.TCPConn)
+	t, ok := c.(syscall.Conn)
 	if !ok {
 		return false
 	}
