Give the nodes of the stop tests addresses of their own process

A run of the root tests reported that an order had run twice (/silent/payment/r14, status 504), while another process ran the same test: both used the same loopback addresses, and request IDs are counted in each process. Two processes at once, run on purpose, sent requests to each other's nodes (one node ended with "exit status 1" because its address was in use). With addresses that depend on the process both runs see only their own requests.

--- a/stop_world_test.go
+++ b/stop_world_test.go
@@ -162,12 +162,18 @@
 	w.must(w.platform.Publish(w.document))
 }
 
+// address returns the loopback address of a node. It depends on the process, so that tests of two processes do not send
+// requests to each other's nodes.
+func (w *stopWorld) address(node int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 88, byte(os.Getpid()), w.subnet + byte(node)})
+}
+
 // newNode returns a node with its settings written, which start starts.
 func (w *stopWorld) newNode(domain string) *stopNode {
 	w.Helper()
-	ip := netip.AddrFrom4([4]byte{127, 0, 88, w.subnet + byte(len(w.nodes))})
+	ip := w.address(len(w.nodes))
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(ip, nodePort+port) }
-	seed := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 88, w.subnet}), nodePort)
+	seed := netip.AddrPortFrom(w.address(0), nodePort)
 	dir := w.TempDir()
 	n := &stopNode{
 		caller: at(1), file: filepath.Join(dir, "settings.json"), log: filepath.Join(dir, "log"), done: make(chan struct{}),
