--- a/feed/reader.go
+++ b/feed/reader.go
@@ -10,6 +10,10 @@
 // required.
 var ErrCompacted = errors.New("feed: the platform has dropped its history")
 
+// ErrIncomplete is returned when the platform's answer has begun but cannot be read to its end. The answer to the same
+// request is likely to fail again, because it only grows; the newest state comes in pages of limited size.
+var ErrIncomplete = errors.New("feed: the platform's answer cannot be read to its end")
+
 const (
 	// watchWait is how long the platform holds a watch open when there are no changes. Each answer confirms that the
 	// replica is current, so the wait bounds the age of the data.
@@ -62,8 +66,11 @@
 	staleAge time.Duration
 	// lastRevision is the revision of the last successful read, 0 before the first load. The next watch starts after it.
 	lastRevision uint64
-	// reload is set when the platform no longer has the changes after lastRevision.
-	reload   bool
+	// reload is set when the changes after lastRevision can't be read: the platform has dropped them, or its answer was
+	// incomplete.
+	reload bool
+	// fresh is set after an incomplete answer. A stale load would need the changes after it, which may be incomplete too.
+	fresh    bool
 	failures int
 	// recoveredAt is the end of the last outage.
 	recoveredAt time.Time
@@ -127,6 +134,8 @@
 	Step  Step
 	After uint64
 	Wait  time.Duration
+	// Fresh means that a load must return the newest state, without a watch for the changes after it.
+	Fresh bool
 }
 
 // Input holds the node state that a plan depends on.
@@ -150,7 +159,7 @@
 	}
 	after := max(r.lastRevision, in.Revision)
 	if after == 0 || r.reload {
-		return Plan{Step: Load}
+		return Plan{Step: Load, Fresh: r.fresh}
 	}
 	wait := watchWait
 	if !in.Known || in.Age > confirmAge {
@@ -185,7 +194,7 @@
 	}
 	r.failures = 0
 	r.lastRevision = max(r.lastRevision, d.To)
-	r.reload = false
+	r.reload, r.fresh = false, false
 	r.notBefore = time.Time{}
 	if len(d.Changes) > 0 {
 		r.notBefore = now.Add(minWatchInterval)
@@ -200,12 +209,20 @@
 }
 
 // RecordFailure records a failed read and schedules the next one with exponential backoff. The jitter, from 0 to 1,
-// sets the pause between 0.5 and 1 times the backoff. After ErrCompacted the next read is a full load without a pause.
+// sets the pause between 0.5 and 1 times the backoff. After ErrCompacted, and after the first ErrIncomplete, the next read
+// is a full load without a pause: the platform answers, so that the node is not cut off from it.
 func (r *Reader) RecordFailure(now time.Time, err error, jitter float64) {
 	if errors.Is(err, ErrCompacted) {
 		r.reload = true
 		return
 	}
+	if errors.Is(err, ErrIncomplete) {
+		first := !r.fresh
+		r.reload, r.fresh = true, true
+		if first {
+			return
+		}
+	}
 	r.failures++
 	pause := min(maxBackoff, initialBackoff<<min(r.failures-1, 10))
 	r.notBefore = now.Add(time.Duration((0.5 + jitter/2) * float64(pause)))
--- a/feed/reader_test.go
+++ b/feed/reader_test.go
@@ -152,3 +152,29 @@
 	is.Equal(r.Plan(epoch, Input{Revision: 2}), Plan{Step: Idle, Wait: minWatchInterval})
 	is.Equal(r.Plan(epoch.Add(minWatchInterval), Input{Revision: 2}).Step, Watch)
 }
+
+// Guards against a watch that is sent again unchanged after its answer could not be read to its end, and against a node
+// that counts as blind after the loss of one answer although the platform serves it.
+func TestIncompleteAnswerIsNotRequestedAgain(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	r := newReader(true)
+	in := Input{Revision: 5}
+	incomplete := errors.Mark(errors.New("unexpected EOF"), ErrIncomplete)
+	is.Equal(r.Plan(epoch, in).Step, Watch)
+	r.RecordFailure(epoch, incomplete, 1)
+	is.Equal(r.Failures(), 0)
+	is.Equal(r.Plan(epoch, in), Plan{Step: Load, Fresh: true})
+	r.RecordFailure(epoch, incomplete, 1) // the pages are incomplete too
+	is.Equal(r.Failures(), 1)
+	is.True(!r.IsBlind())
+	is.Equal(r.Plan(epoch, in), Plan{Step: Idle, Wait: initialBackoff})
+	is.Equal(r.Plan(epoch.Add(initialBackoff), in), Plan{Step: Load, Fresh: true})
+	r.RecordFailure(epoch, incomplete, 1)
+	is.True(r.IsBlind())
+	d := Delta{Full: true, To: 9}
+	r.RecordSuccess(epoch, &d)
+	is.Equal(r.Plan(epoch, in).Step, Watch)
+	r.RecordFailure(epoch, errors.Wrap(ErrCompacted, "watch"), 1)
+	is.Equal(r.Plan(epoch, in), Plan{Step: Load}) // the last load was fresh, this one can be stale
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -35,6 +35,8 @@
 type platformLink struct {
 	*fake.MemoryPlatform
 	unavailable atomic.Bool
+	// cut makes the answers to watches that have changes unreadable.
+	cut atomic.Bool
 	// reads counts the reads that succeeded.
 	reads atomic.Int64
 	// delay is added to each answer, in nanoseconds.
@@ -79,6 +81,9 @@
 	if s.unavailable.Load() {
 		return feed.Delta{}, fake.ErrPlatformDown
 	}
+	if s.cut.Load() && len(d.Changes) > 0 {
+		return feed.Delta{}, feed.ErrIncomplete
+	}
 	if err == nil {
 		s.reads.Add(1)
 	}
--- a/node/read.go
+++ b/node/read.go
@@ -57,7 +57,7 @@
 	var d feed.Delta
 	err := panics.Catch(func() (err error) {
 		if p.Step == feed.Load {
-			d, err = n.load(ctx)
+			d, err = n.load(ctx, p.Fresh)
 		} else {
 			d, err = n.config.Source.Watch(ctx, p.After, p.Wait)
 		}
@@ -92,9 +92,12 @@
 }
 
 // load reads a full snapshot: a stale read plus the changes after it or, when the platform no longer keeps these, a
-// read that is not stale.
-func (n *Node) load(ctx context.Context) (feed.Delta, error) {
+// read that is not stale. A fresh load needs only the latter.
+func (n *Node) load(ctx context.Context, fresh bool) (feed.Delta, error) {
 	source := n.config.Source
+	if fresh {
+		return source.Load(ctx, false)
+	}
 	d, err := source.Load(ctx, true)
 	if err != nil {
 		return d, err
@@ -114,7 +117,7 @@
 	failures, blind := n.reader.Failures(), n.reader.IsBlind()
 	n.feedMu.Unlock()
 	n.setBlind(blind)
-	if failures == 1 || errors.Is(err, feed.ErrCompacted) {
+	if failures == 1 || errors.IsAny(err, feed.ErrCompacted, feed.ErrIncomplete) {
 		n.log.Warn("platform read failed", "Error", err, "Revision", n.revision())
 	}
 }
