Read from answers that a server leaves or wants a rest

Cause: servers say in their answers that they are about to stop, and with a rejection for how long they want no requests. The client read neither.

Change: back.Result carries Leaving and RetryAfter of each complete answer that belongs to the request and its server process. Only the value 1 means leaving. Retry-After counts with status 503 and not run, as decimal seconds up to 10 minutes; the longest value counts, and dates, signs, exponents and lists are ignored. The names are in wire.Headers, with the product's own and the users' defaults.

Measured: go test -race ./back passes.

--- a/back/forward.go
+++ b/back/forward.go
@@ -244,9 +244,12 @@
 		r.ColdRemaining = time.Duration(ms) * time.Millisecond
 	}
 	id := reply.Header.Get(h.RequestID)
-	switch {
-	case id != "" && id != f.RequestID, id == "" && c.echoesID:
+	if id != "" && id != f.RequestID || id == "" && c.echoesID {
 		r.fail(Invalid, "back: answer with ID "+strconv.Quote(id)+" and status "+strconv.Itoa(reply.Status)+" is for another request")
+		return
+	}
+	c.echoesID = c.echoesID || id != ""
+	switch {
 	case reply.Status == http.StatusMisdirectedRequest:
 		r.Reason = wire.BackendIncarnation
 		r.fail(NotRun, "back: another server instance uses the address")
@@ -256,7 +259,34 @@
 	case slices.ContainsFunc(reply.Header["Content-Encoding"], func(v string) bool { return v != "identity" }):
 		r.fail(Invalid, "back: answer has a content encoding")
 	}
-	c.echoesID = c.echoesID || id != "" && id == f.RequestID
+	if reply.Status == http.StatusMisdirectedRequest || r.Incarnation != "" && r.Incarnation != f.Instance {
+		// What another process says of itself does not concern the server that the request was for.
+		return
+	}
+	r.Leaving = slices.Contains(reply.Header.Values(h.Leaving), wire.LeavingValue)
+	if r.Outcome == NotRun && reply.Status == http.StatusServiceUnavailable {
+		r.RetryAfter = parseRetryAfter(reply.Header.Values(h.RetryAfter))
+	}
+}
+
+// maxRetryAfter limits the time for which a server may ask for no requests. Without a limit, one faulty value would take
+// the server out of use until it restarts.
+const maxRetryAfter = 10 * time.Minute
+
+// parseRetryAfter returns the longest of the times, in seconds with an optional fraction, up to maxRetryAfter. Other
+// values are ignored: signs, exponents and lists, and also dates, since the clocks of servers may be wrong.
+func parseRetryAfter(values []string) time.Duration {
+	longest := 0.0
+	for _, v := range values {
+		if strings.Trim(v, "0123456789.") != "" {
+			continue
+		}
+		// A number that is too large is returned as infinity.
+		if seconds, err := strconv.ParseFloat(v, 64); !errors.Is(err, strconv.ErrSyntax) {
+			longest = max(longest, seconds)
+		}
+	}
+	return time.Duration(min(longest, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
 // classifyForwardError classifies an attempt that failed after a byte was written.
--- a/back/result.go
+++ b/back/result.go
@@ -62,6 +62,11 @@
 	Draining bool
 	// ColdRemaining is the remaining time for which the server reports to be cold.
 	ColdRemaining time.Duration
+	// Leaving means that the server has answered, with any status, that it is about to stop.
+	Leaving bool
+	// RetryAfter is the time for which the server wants no further requests from this client, 0 if it named none. Only
+	// rejections with status 503 carry it.
+	RetryAfter time.Duration
 	// NewConnection means that the connection had neither been idle nor returned an answer before this attempt.
 	NewConnection bool
 	// Refused means that the server refused, reset or closed a connection.
--- a/wire/headers.go
+++ b/wire/headers.go
@@ -21,13 +21,21 @@
 	// of shards that are missing from it.
 	PartSeals    string
 	MissingParts string
+	// Leaving states, with the value LeavingValue, that the server is about to stop and must get no new requests.
+	Leaving string
+	// RetryAfter is the time in seconds for which a server that has rejected a request wants no further ones.
+	RetryAfter string
 }
 
+// LeavingValue is the value of the Leaving header of a server that is about to stop.
+const LeavingValue = "1"
+
 // DefaultHeaders returns the default header names.
 func DefaultHeaders() Headers {
 	return Headers{
 		RequestID: "Request-Id", Timeout: "Request-Timeout", Target: "Target-Instance", Seal: "Answer-Seal",
 		NotRun: "Not-Run", Instance: "Instance-Id", ColdRemaining: "Cold-For",
 		PartSeals: "Part-Seals", MissingParts: "Missing-Parts",
+		Leaving: "Leaving", RetryAfter: "Retry-After",
 	}
 }
