Send no new request to a server that announces that it leaves

Cause: a server says in its answers that it is about to stop. A node went on sending to it until its entry in the list changed, which some servers never do.

Change: the engine takes the announcement from every answer, also of a failure, a rejection, a lost hedge or a request that has ended, and gives the process no new request, hedge or retry. When the last server of a service leaves, new requests are refused at once as for a service without listed servers, and requests that wait for capacity end at once; Actions.Rescheduled names them to the node.

The crash probe of a node only opens a connection and sends no request, so it is left as it is. Announcements that a relay hears count at the relay, which is the machine that sends.

--- a/gather/attempt.go
+++ b/gather/attempt.go
@@ -11,13 +11,15 @@
 	server *server
 	relay  *relayCall
 	// domain is the failure domain of the server or relay.
-	domain   string
-	purpose  Purpose
-	sentAt   time.Time
-	ended    bool
-	canceled bool
-	endedAt  time.Time
-	outcome  Outcome
+	domain  string
+	purpose Purpose
+	sentAt  time.Time
+	// startTime is the start time of the server process to which the attempt was sent.
+	startTime time.Time
+	ended     bool
+	canceled  bool
+	endedAt   time.Time
+	outcome   Outcome
 	// charged is set when the attempt was charged to the retry budget.
 	charged bool
 	// stallCanceled is set when the attempt was canceled because its server has stopped answering.
@@ -46,6 +48,7 @@
 	j := t.job
 	a := &attempt{
 		id: e.lastSent, job: j, task: t, charged: !t.isUndelivered(), server: s, domain: s.FailureDomain, purpose: p, sentAt: now,
+		startTime: s.StartTime,
 	}
 	e.attempts[a.id] = a
 	j.scheduleChanged = true
@@ -75,6 +78,9 @@
 	delete(e.attempts, id)
 	a.server.removeOpen(a)
 	e.recordResult(now, a, r, &act)
+	if r.Leaving {
+		e.recordLeaving(now, a, &act)
+	}
 	j, t := a.job, a.task
 	e.recordEnd(a)
 	if r.Outcome != OK && r.Outcome != Answered && !a.canceled {
--- a/gather/engine.go
+++ b/gather/engine.go
@@ -33,8 +33,10 @@
 	servers map[string]*server
 	// delisted holds the servers that were removed from the list within delistedRetention.
 	delisted map[string]*server
-	classes  map[string]*latencyClass
-	jobs     map[JobID]*job
+	// leaving holds the processes that have announced that they leave.
+	leaving leavingProcesses
+	classes map[string]*latencyClass
+	jobs    map[JobID]*job
 	// attempts holds the direct attempts that have not ended, including those of jobs that have ended.
 	attempts map[AttemptID]*attempt
 	relays   map[netip.AddrPort]*relayNode
@@ -54,8 +56,8 @@
 	return &Engine{
 		config: c, rand: rand.New(rand.NewPCG(c.Seed, c.Seed^0x9e3779b97f4a7c15)),
 		pools: make(map[string]*pool), servers: make(map[string]*server), delisted: make(map[string]*server),
-		classes: make(map[string]*latencyClass),
-		jobs:    make(map[JobID]*job), attempts: make(map[AttemptID]*attempt), nodes: 1,
+		leaving: make(leavingProcesses), classes: make(map[string]*latencyClass),
+		jobs: make(map[JobID]*job), attempts: make(map[AttemptID]*attempt), nodes: 1,
 		relayCalls: make(map[RelayID]*relayCall),
 	}
 }
@@ -99,6 +101,8 @@
 	// RelayCancels and RelayDrops are the same for calls to relays.
 	RelayCancels []RelayID
 	RelayDrops   []RelayID
+	// Rescheduled holds other requests for which NextTick may return an earlier time than before.
+	Rescheduled []JobID
 	// FailedTasks holds the indexes of the shards that can no longer be answered.
 	FailedTasks []int
 	// Finished is set when the request has ended.
@@ -204,7 +208,9 @@
 	Latency time.Duration
 	// ColdRemaining is the remaining time of the cold start as reported by the server.
 	ColdRemaining time.Duration
-	Detail        string
+	// Leaving means that the server has announced in its answer that it leaves and must get no new requests.
+	Leaving bool
+	Detail  string
 }
 
 // SetBudget replaces the limits on hedges and retries. If the length of the window changes, the counts of all pools are
@@ -227,8 +233,9 @@
 	// Requests and Attempts are in flight. Waiting is the number of shards that wait for capacity at a server or for
 	// the retry budget.
 	Requests, Attempts, Waiting int
-	// Servers is the number of listed servers, of which Ejected are currently ejected as outliers.
-	Servers, Ejected int
+	// Servers is the number of listed servers, of which Ejected are currently ejected as outliers, and Leaving have
+	// announced that they leave.
+	Servers, Ejected, Leaving int
 	// Nodes is the number of nodes that share the limits, 0 if it is not known.
 	Nodes int
 }
@@ -240,6 +247,9 @@
 		if s.ejected(now) {
 			l.Ejected++
 		}
+		if s.isLeaving() {
+			l.Leaving++
+		}
 	}
 	for _, j := range e.jobs {
 		for i := range j.tasks {
--- a/gather/job.go
+++ b/gather/job.go
@@ -62,6 +62,9 @@
 	// server.
 	waiting bool
 	retryAt time.Time
+	// checkAt is the time at which it is checked whether a server can still accept a task that waits for capacity, zero
+	// if no check is due.
+	checkAt time.Time
 }
 
 // Submit adds a request and sends its shards. Finished is set if the request ends at once, for example because it is
@@ -220,6 +223,7 @@
 	e.cancelStalled(now, j, &act)
 	e.hedge(now, j, &act)
 	e.retry(now, j, &act)
+	e.checkWaiting(now, j, &act)
 	e.finishIfDone(now, j, &act)
 	return act
 }
@@ -250,7 +254,7 @@
 		if t.answered || t.failed {
 			continue
 		}
-		for _, at := range [...]time.Time{t.hedgeAt, t.retryAt, t.hangCheckAt(now, wait)} {
+		for _, at := range [...]time.Time{t.hedgeAt, t.retryAt, t.checkAt, t.hangCheckAt(now, wait)} {
 			if !at.IsZero() {
 				wake = earlier(wake, at)
 			}
--- a/gather/queue.go
+++ b/gather/queue.go
@@ -16,6 +16,31 @@
 	overloadBackoff = 30 * time.Millisecond
 )
 
+// wakeWaiting makes the requests check at once whether the tasks that wait for the servers of a pool can still be sent.
+func (e *Engine) wakeWaiting(now time.Time, p *pool, act *Actions) {
+	for _, t := range p.waiting {
+		if e.isWaiting(t) {
+			t.checkAt = now
+			t.job.scheduleChanged = true
+			act.Rescheduled = append(act.Rescheduled, t.job.id)
+		}
+	}
+}
+
+// checkWaiting fails the waiting tasks of a request that no server can accept any more.
+func (e *Engine) checkWaiting(now time.Time, j *job, act *Actions) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.checkAt.IsZero() || now.Before(t.checkAt) {
+			continue
+		}
+		t.checkAt = time.Time{}
+		if e.isWaiting(t) && !t.pool.hasServers() {
+			j.failTask(t, "no server of "+t.pool.name+" is listed", act)
+		}
+	}
+}
+
 // wait lets a task wait until the given time or, if that is zero, queues it for capacity at a server of its pool.
 func (e *Engine) wait(t *task, until time.Time) {
 	if !t.waiting {
--- a/gather/server.go
+++ b/gather/server.go
@@ -56,8 +56,8 @@
 	return false
 }
 
-// isListed reports whether the server accepts new requests, now or later: it is neither draining nor replaced.
-func (s *server) isListed() bool { return !s.Draining && !s.replaced }
+// isListed reports whether the server accepts new requests, now or later: it is neither draining, leaving nor replaced.
+func (s *server) isListed() bool { return !s.Draining && !s.replaced && !s.isLeaving() }
 
 // server holds the state of a backend server.
 type server struct {
@@ -72,6 +72,8 @@
 	backoffUntil time.Time
 	// replaced is set if another process has answered on the address, so that this server no longer exists.
 	replaced bool
+	// leavingSince is the time at which the server announced that it leaves, zero if it has not.
+	leavingSince time.Time
 	// delistedAt is the time at which the server was last removed from the list.
 	delistedAt time.Time
 }
@@ -100,6 +102,7 @@
 			}
 			delete(e.delisted, v.ID)
 			s.update(v, p)
+			s.leavingSince = e.leaving[processOf(&v, v.StartTime)]
 			servers[v.ID] = s
 			p.servers = append(p.servers, s)
 		}
--- a/gather/status.go
+++ b/gather/status.go
@@ -16,6 +16,8 @@
 	Draining      bool           `json:"Draining,omitempty"`
 	Cold          bool           `json:"Cold,omitempty"`
 	Ejected       bool           `json:"Ejected,omitempty"`
+	// LeavingSince is the time at which an answer to this node announced that the server leaves, zero if none has.
+	LeavingSince time.Time `json:"LeavingSince,omitzero"`
 	// Slowness is the moving average of the ratio of the latency to the typical latency of the request class.
 	Slowness float64 `json:"Slowness"`
 	// Open is the number of requests in flight from this node.
@@ -30,7 +32,7 @@
 	for _, s := range e.servers {
 		list = append(list, ServerStatus{
 			ID: s.ID, Service: s.pool.name, Address: s.Address, FailureDomain: s.FailureDomain, Draining: s.Draining,
-			Cold: s.cold(now), Ejected: s.ejected(now), Slowness: s.slownessNow(now), Open: len(s.open), Answered: s.answeredAt,
+			LeavingSince: s.leavingSince, Cold: s.cold(now), Ejected: s.ejected(now), Slowness: s.slownessNow(now), Open: len(s.open), Answered: s.answeredAt,
 		})
 	}
 	slices.SortFunc(list, func(a, b ServerStatus) int {
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -44,8 +44,14 @@
 	n.countAttempt(s.Purpose, outcome)
 	n.recordAttempt(now, c, s.Server.Address, outcome, r)
 	act := n.engine.Done(now, s.Attempt, gather.Result{
-		Outcome: outcome, Latency: r.Latency, ColdRemaining: r.ColdRemaining, Detail: r.Message,
+		Outcome: outcome, Latency: r.Latency, ColdRemaining: r.ColdRemaining, Leaving: r.Leaving,
+		Detail: r.Message,
 	})
+	for _, id := range act.Rescheduled {
+		if other := n.calls[id]; other != nil {
+			n.scheduleTick(now, other)
+		}
+	}
 	if n.calls[c.id] != c {
 		n.startAttempts(now, act)
 		n.logDecisions(c, act)
