Send nothing to a server that asks for no requests for a time

Cause: a server that rejects a request with 503 may say for how long it wants no more. A node tried again after 30 ms, and requests waited until their deadline for servers that would not take them.

Change: during such a pushback the engine sends nothing to the process, no hedge, retry or trial request. An attempt that has waited 100 ms or longer for its connection asks the engine again before it is written (back.Gate), which covers leaving servers too. If too many shards have only such servers, callers get 503 at once with the time until enough are ready as Retry-After, up to a tenth longer at random. A request that waits ends at once when no server will take it before its deadline; otherwise it is sent when the first pushback ends. The state belongs to the process, outlives changes of the list and removed entries, and a shorter time does not end a longer one. Status shows PushbackUntil, the log and the decisions counter `server pushback`.

Measured: go test and go test -race of gather, back, node and front pass.

--- a/back/forward.go
+++ b/back/forward.go
@@ -46,8 +46,21 @@
 	// NonIdempotent is set for requests that must not run twice. Reused connections are always checked before
 	// such a request is sent, because the server may have closed them.
 	NonIdempotent bool
+	// Gate, if set, is asked about Attempt before the request is written when it has waited for its connection for
+	// gateDelay or longer.
+	Gate    Gate
+	Attempt uint64
 }
 
+// Gate decides whether an attempt may still be sent after it has waited for a connection.
+type Gate interface {
+	MaySend(attempt uint64) bool
+}
+
+// gateDelay is the wait for a connection from which the gate is asked. Servers allow half a second for requests that were
+// on their way when they asked for no more.
+const gateDelay = 100 * time.Millisecond
+
 // Reply is the answer to a Forward.
 type Reply struct {
 	Status int
@@ -81,6 +94,12 @@
 			r.fail(Unsent, "back: deadline exceeded or request canceled before it was sent")
 			return nil, r
 		}
+		if f.Gate != nil && r.ConnectionWait >= gateDelay && !f.Gate.MaySend(f.Attempt) {
+			p.put(c)
+			r.Local = true
+			r.fail(Unsent, "back: the server leaves or wants no requests since the attempt began")
+			return nil, r
+		}
 		r.NewConnection = c.fresh()
 		reply, again := k.forwardRoundTrip(ctx, p, c, f, deadline, &r)
 		if !again {
--- a/gather/attempt.go
+++ b/gather/attempt.go
@@ -81,6 +81,9 @@
 	if r.Leaving {
 		e.recordLeaving(now, a, &act)
 	}
+	if r.RetryAfter > 0 {
+		e.recordPushback(now, a, r.RetryAfter, &act)
+	}
 	j, t := a.job, a.task
 	e.recordEnd(a)
 	if r.Outcome != OK && r.Outcome != Answered && !a.canceled {
--- a/gather/choose.go
+++ b/gather/choose.go
@@ -67,13 +67,13 @@
 	return s.isListed() && s.hasCapacity(now, e.share(now, coldWindow))
 }
 
-// hasCapacity reports whether the limits on connections and outstanding requests, the overload backoff and, during a
+// hasCapacity reports whether the limits on connections and outstanding requests, the overload backoff, a pushback and, during a
 // cold start, this node's share of the rate limit allow another request.
 func (s *server) hasCapacity(now time.Time, coldShare float64) bool {
 	if s.Connections > 0 && len(s.open) >= s.Connections || s.concurrencyLimit > 0 && len(s.open) >= s.concurrencyLimit {
 		return false
 	}
-	if now.Before(s.backoffUntil) {
+	if now.Before(s.backoffUntil) || s.hasPushback(now) {
 		return false
 	}
 	if len(s.open) >= s.queueLimit(now) {
--- a/gather/engine.go
+++ b/gather/engine.go
@@ -35,8 +35,10 @@
 	delisted map[string]*server
 	// leaving holds the processes that have announced that they leave.
 	leaving leavingProcesses
-	classes map[string]*latencyClass
-	jobs    map[JobID]*job
+	// pushbackUntil is the latest end of a pushback of any server.
+	pushbackUntil time.Time
+	classes       map[string]*latencyClass
+	jobs          map[JobID]*job
 	// attempts holds the direct attempts that have not ended, including those of jobs that have ended.
 	attempts map[AttemptID]*attempt
 	relays   map[netip.AddrPort]*relayNode
@@ -210,7 +212,9 @@
 	ColdRemaining time.Duration
 	// Leaving means that the server has announced in its answer that it leaves and must get no new requests.
 	Leaving bool
-	Detail  string
+	// RetryAfter is the time for which the server has asked for no requests when it rejected this one, 0 if it has not.
+	RetryAfter time.Duration
+	Detail     string
 }
 
 // SetBudget replaces the limits on hedges and retries. If the length of the window changes, the counts of all pools are
@@ -233,9 +237,9 @@
 	// Requests and Attempts are in flight. Waiting is the number of shards that wait for capacity at a server or for
 	// the retry budget.
 	Requests, Attempts, Waiting int
-	// Servers is the number of listed servers, of which Ejected are currently ejected as outliers, and Leaving have
-	// announced that they leave.
-	Servers, Ejected, Leaving int
+	// Servers is the number of listed servers, of which Ejected are currently ejected as outliers, Leaving have
+	// announced that they leave, and Pushback want no requests for a time.
+	Servers, Ejected, Leaving, Pushback int
 	// Nodes is the number of nodes that share the limits, 0 if it is not known.
 	Nodes int
 }
@@ -250,6 +254,9 @@
 		if s.isLeaving() {
 			l.Leaving++
 		}
+		if s.hasPushback(now) {
+			l.Pushback++
+		}
 	}
 	for _, j := range e.jobs {
 		for i := range j.tasks {
--- a/gather/finish.go
+++ b/gather/finish.go
@@ -95,19 +95,19 @@
 	total := len(j.tasks)
 	switch {
 	case j.answered == total:
-		e.finish(j, Complete, act)
+		e.finish(now, j, Complete, act)
 	case !j.coversEnough(total - j.failed):
-		e.finish(j, Failed, act)
+		e.finish(now, j, Failed, act)
 	case !j.coversEnough(j.answered):
 	case j.answered+j.failed == total, !j.Target.IsZero() && !now.Before(j.Target):
-		e.finish(j, Partial, act)
+		e.finish(now, j, Partial, act)
 	}
 	if act.Finished == nil && j.waiting > 0 {
 		e.sendRequired(now, j, act)
 	}
 }
 
-func (e *Engine) finish(j *job, end End, act *Actions) {
+func (e *Engine) finish(now time.Time, j *job, end End, act *Actions) {
 	f := &Finished{Job: j.id, End: end, Answered: j.answered, Total: len(j.tasks), Reason: j.reason}
 	for i := range j.tasks {
 		if t := &j.tasks[i]; !t.answered && len(f.Missing) < maxMissing {
@@ -133,7 +133,7 @@
 	f.MayHaveRun = j.mayHaveRun
 	act.Finished = f
 	if !j.mayHaveRun && end != Complete && end != Partial {
-		f.RetryAfter = retryAfter
+		f.RetryAfter = e.callerRetryAfter(now, j)
 	}
 	e.removeJob(j, act, false)
 }
--- a/gather/job.go
+++ b/gather/job.go
@@ -80,8 +80,10 @@
 		return j.id, act
 	}
 	e.endAtStop(j)
-	if reason := e.refusalReason(j); reason != "" {
-		act.Finished = &Finished{Job: j.id, End: Refused, Total: len(j.tasks), RetryAfter: retryAfter, Reason: reason}
+	if reason := e.refusalReason(now, j); reason != "" {
+		act.Finished = &Finished{
+			Job: j.id, End: Refused, Total: len(j.tasks), RetryAfter: e.callerRetryAfter(now, j), Reason: reason,
+		}
 		return j.id, act
 	}
 	e.jobs[j.id] = j
@@ -135,7 +137,7 @@
 }
 
 // refusalReason returns the reason why the request cannot be served, or the empty string if it can.
-func (e *Engine) refusalReason(j *job) string {
+func (e *Engine) refusalReason(now time.Time, j *job) string {
 	missing := 0
 	name := ""
 	for _, p := range j.Pools {
@@ -147,6 +149,9 @@
 	if missing > 0 && !j.coversEnough(len(j.Pools)-missing) {
 		return "no server of " + name + " is listed"
 	}
+	if name, wait := e.coverageDelay(now, j); wait > 0 {
+		return "all servers of " + name + " want no requests for " + milliseconds(wait)
+	}
 	return ""
 }
 
@@ -178,7 +183,7 @@
 		// If this node is a relay, the requesting node can use servers in other failure domains.
 		j.failTask(t, "no server of "+t.pool.name+" can accept it", act)
 	case s == nil:
-		e.wait(t, time.Time{})
+		e.waitForServer(now, t, act)
 	case len(t.pool.waiting) > 0 && !j.Relayed:
 		// Other waiting tasks may have a higher rank.
 		e.wait(t, time.Time{})
@@ -217,7 +222,7 @@
 		return act
 	}
 	if !now.Before(j.Deadline) {
-		e.finish(j, Expired, &act)
+		e.finish(now, j, Expired, &act)
 		return act
 	}
 	e.cancelStalled(now, j, &act)
--- a/gather/queue.go
+++ b/gather/queue.go
@@ -27,7 +27,8 @@
 	}
 }
 
-// checkWaiting fails the waiting tasks of a request that no server can accept any more.
+// checkWaiting checks the waiting tasks of a request whose check is due. It sends those that a server accepts again, and
+// fails those that none will accept before the deadline.
 func (e *Engine) checkWaiting(now time.Time, j *job, act *Actions) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
@@ -35,12 +36,43 @@
 			continue
 		}
 		t.checkAt = time.Time{}
-		if e.isWaiting(t) && !t.pool.hasServers() {
-			j.failTask(t, "no server of "+t.pool.name+" is listed", act)
+		switch {
+		case !e.isWaiting(t):
+		case e.failIfUnservable(now, t, act):
+		case t.checkAt.IsZero():
+			e.dispatch(now, t.pool, act)
 		}
 	}
 }
 
+// waitForServer queues a task for capacity at a server. It fails the task if no server will accept it before the
+// deadline.
+func (e *Engine) waitForServer(now time.Time, t *task, act *Actions) {
+	if !e.failIfUnservable(now, t, act) {
+		e.wait(t, time.Time{})
+	}
+}
+
+// failIfUnservable fails a task that no server will accept before the deadline. Otherwise it sets the time at which the
+// task must be checked again, and returns false.
+func (e *Engine) failIfUnservable(now time.Time, t *task, act *Actions) bool {
+	end := e.pushbackEnd(now, t.pool, t)
+	var reason string
+	switch {
+	case !t.pool.hasServers():
+		reason = "no server of " + t.pool.name + " is listed"
+	case !end.IsZero() && !end.Before(t.job.Deadline):
+		reason = "all servers of " + t.pool.name + " want no requests for " + milliseconds(end.Sub(now))
+	default:
+		t.checkAt = end
+		t.job.scheduleChanged = true
+		return false
+	}
+	t.resume()
+	t.job.failTask(t, reason, act)
+	return true
+}
+
 // wait lets a task wait until the given time or, if that is zero, queues it for capacity at a server of its pool.
 func (e *Engine) wait(t *task, until time.Time) {
 	if !t.waiting {
@@ -66,7 +98,7 @@
 	if t.waiting {
 		t.job.waiting--
 	}
-	t.waiting, t.retryAt = false, time.Time{}
+	t.waiting, t.retryAt, t.checkAt = false, time.Time{}, time.Time{}
 }
 
 // isWaiting reports whether the task still waits for capacity.
--- a/gather/rank.go
+++ b/gather/rank.go
@@ -57,12 +57,12 @@
 }
 
 // leastExpectedLatency returns the lowest expected latency of a request over the servers of a pool, and false if no
-// server is listed and not ejected.
+// server is listed, not ejected and without pushback.
 func (e *Engine) leastExpectedLatency(now time.Time, j *job, p *pool) (time.Duration, bool) {
 	var least time.Duration
 	found := false
 	for _, s := range p.servers {
-		if !s.isListed() || s.ejected(now) {
+		if !s.isListed() || s.ejected(now) || s.hasPushback(now) {
 			continue
 		}
 		if d := e.expectedLatency(now, j, s); !found || d < least {
@@ -95,7 +95,10 @@
 		}
 	}
 	slices.SortStableFunc(held, func(a, b lateTask) int { return cmp.Compare(b.expect, a.expect) })
-	held = held[:min(allowed, len(held))]
+	held = slices.DeleteFunc(held[:min(allowed, len(held))], func(x lateTask) bool {
+		return e.failIfUnservable(now, x.task, act)
+	})
+	tasks = slices.DeleteFunc(tasks, func(t *task) bool { return t.failed })
 	if len(held) == 0 {
 		return tasks
 	}
--- a/gather/server.go
+++ b/gather/server.go
@@ -70,6 +70,8 @@
 	concurrencyLimit int
 	// backoffUntil is the end of the overload backoff. It is set when the server rejects a request.
 	backoffUntil time.Time
+	// pushbackUntil is the end of the time for which the server has asked for no requests.
+	pushbackUntil time.Time
 	// replaced is set if another process has answered on the address, so that this server no longer exists.
 	replaced bool
 	// leavingSince is the time at which the server announced that it leaves, zero if it has not.
@@ -114,7 +116,9 @@
 			e.delisted[id] = s
 		}
 	}
-	maps.DeleteFunc(e.delisted, func(_ string, s *server) bool { return now.Sub(s.delistedAt) > delistedRetention })
+	maps.DeleteFunc(e.delisted, func(_ string, s *server) bool {
+		return now.Sub(s.delistedAt) > delistedRetention && !s.hasPushback(now)
+	})
 	e.pools, e.servers = next, servers
 	var act Actions
 	for _, p := range next {
@@ -129,7 +133,7 @@
 		v.ColdUntil = s.ColdUntil
 	}
 	if !v.StartTime.Equal(s.StartTime) {
-		s.replaced = false
+		s.replaced, s.pushbackUntil = false, time.Time{}
 	}
 	s.Server, s.pool = v, p
 }
--- a/gather/status.go
+++ b/gather/status.go
@@ -18,6 +18,9 @@
 	Ejected       bool           `json:"Ejected,omitempty"`
 	// LeavingSince is the time at which an answer to this node announced that the server leaves, zero if none has.
 	LeavingSince time.Time `json:"LeavingSince,omitzero"`
+	// PushbackUntil is the end of the time for which the server has asked this node for no requests when it rejected one,
+	// zero if it has not.
+	PushbackUntil time.Time `json:"PushbackUntil,omitzero"`
 	// Slowness is the moving average of the ratio of the latency to the typical latency of the request class.
 	Slowness float64 `json:"Slowness"`
 	// Open is the number of requests in flight from this node.
@@ -30,10 +33,14 @@
 func (e *Engine) Status(now time.Time) []ServerStatus {
 	list := make([]ServerStatus, 0, len(e.servers))
 	for _, s := range e.servers {
-		list = append(list, ServerStatus{
+		status := ServerStatus{
 			ID: s.ID, Service: s.pool.name, Address: s.Address, FailureDomain: s.FailureDomain, Draining: s.Draining,
 			LeavingSince: s.leavingSince, Cold: s.cold(now), Ejected: s.ejected(now), Slowness: s.slownessNow(now), Open: len(s.open), Answered: s.answeredAt,
-		})
+		}
+		if s.hasPushback(now) {
+			status.PushbackUntil = s.pushbackUntil
+		}
+		list = append(list, status)
 	}
 	slices.SortFunc(list, func(a, b ServerStatus) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -18,6 +18,7 @@
 		defer cancel()
 		f := c.forward
 		f.Instance = s.Server.ID
+		f.Gate, f.Attempt = gate{n}, uint64(s.Attempt)
 		var reply *back.Reply
 		var r back.Result
 		err := panics.Catch(func() error {
@@ -32,6 +33,17 @@
 	}()
 }
 
+// gate lets an attempt that has waited for a connection be sent only if its server still wants it. It has no closure for
+// each attempt, which would be an allocation.
+type gate struct{ node *Node }
+
+// MaySend implements back.Gate.
+func (g gate) MaySend(attempt uint64) bool {
+	g.node.mu.Lock()
+	defer g.node.mu.Unlock()
+	return g.node.engine.MaySend(time.Now(), gather.AttemptID(attempt))
+}
+
 // finishAttempt passes the result of an attempt to the engine.
 func (n *Node) finishAttempt(c *call, s gather.Send, reply *back.Reply, r back.Result) {
 	seal := n.config.Headers.Seal
@@ -45,7 +57,7 @@
 	n.recordAttempt(now, c, s.Server.Address, outcome, r)
 	act := n.engine.Done(now, s.Attempt, gather.Result{
 		Outcome: outcome, Latency: r.Latency, ColdRemaining: r.ColdRemaining, Leaving: r.Leaving,
-		Detail: r.Message,
+		RetryAfter: r.RetryAfter, Detail: r.Message,
 	})
 	for _, id := range act.Rescheduled {
 		if other := n.calls[id]; other != nil {
