Check announcements of servers in random histories

Cause: leaving servers and pushbacks meet cold starts, evacuations, restarts under the same ID, relays, hedges and the retry budget in any order.

Change: the random histories of the engine draw what servers announce, restarts and evacuated failure domains, and keep their own record of it. They check that no leaving server and none with a pushback gets a request, that a request is refused if and only if too few shards have a ready server, that Retry-After names the time at which enough have one, and that no request is held that cannot be answered.

Found and mended: a shard waited until the deadline when the servers that it may still be sent to were gone, since others were listed; requests that wait are also checked when the list changes or an address has another owner; the engine dispatched pools in the order of a map, which made histories differ between runs.

--- a/gather/attempt.go
+++ b/gather/attempt.go
@@ -84,6 +84,9 @@
 	if r.RetryAfter > 0 {
 		e.recordPushback(now, a, r.RetryAfter, &act)
 	}
+	if r.Leaving || r.RetryAfter > 0 || r.Outcome == OtherServer {
+		e.wakeUnservable(now, a.server.pool, &act)
+	}
 	j, t := a.job, a.task
 	e.recordEnd(a)
 	if r.Outcome != OK && r.Outcome != Answered && !a.canceled {
--- a/gather/leaving.go
+++ b/gather/leaving.go
@@ -50,9 +50,6 @@
 	})
 	if s := e.servers[k.id]; s != nil && processOf(&s.Server, s.StartTime) == k {
 		s.leavingSince = now
-		if !s.pool.hasServers() {
-			e.wakeWaiting(now, s.pool, act)
-		}
 	}
 }
 
--- a/gather/leaving_test.go
+++ b/gather/leaving_test.go
@@ -175,3 +175,15 @@
 	is.Equal(len(f.leaving), maxLeaving)
 	is.Equal(f.next("b"), "[primary:b-far]")
 }
+
+// Guards against a shard that waits until the deadline for servers to which it must not be sent any more.
+func TestNoFurtherServerAllowed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture()
+	r := f.request("a", "b")
+	r.MaxAttempts, r.MinCoverage = 1, 1
+	end := f.leave(f.submit(r).Sends[0], ServerError)
+	is.Equal(end.Finished.End, Failed)
+	is.True(end.Finished.MayHaveRun)
+}
--- a/gather/property_test.go
+++ b/gather/property_test.go
@@ -29,6 +29,7 @@
 	// first holds the times of requests by pool, and arrivals the times of sends by server.
 	first    map[string][]time.Time
 	arrivals map[string][]time.Time
+	announcements
 }
 
 type jobHistory struct {
@@ -50,6 +51,7 @@
 		relays: make(map[RelayID]RelaySend), relayedAt: make(map[RelayID]time.Time),
 		pending: make(map[RelayID]map[int]bool), jobs: make(map[JobID]*jobHistory),
 		first: make(map[string][]time.Time), arrivals: make(map[string][]time.Time),
+		announcements: newAnnouncements(),
 	}
 	h.engine = New(Config{FailureDomain: here, Budget: h.budget, Seed: rapid.Uint64().Draw(t, "seed")})
 	h.engine.SetNodes(h.nodes)
@@ -61,6 +63,7 @@
 // setPools draws which servers exist and which of them are draining or cold.
 func (h *history) setPools() {
 	var pools []Pool
+	evacuated := rapid.SampledFrom([]string{"", "", "", "", here, there}).Draw(h.T, "evacuated")
 	for _, name := range poolNames {
 		p := Pool{Name: name}
 		for i, domain := range []string{here, there, "chiayi"} {
@@ -68,7 +71,8 @@
 				continue
 			}
 			s := testServer(fmt.Sprintf("%s%d", name, i), domain)
-			s.Draining = rapid.IntRange(0, 5).Draw(h.T, "draining") == 0
+			s.Draining = domain == evacuated || rapid.IntRange(0, 5).Draw(h.T, "draining") == 0
+			s.StartTime = h.drawStart(h.T, s.ID)
 			s.ColdRate = 8
 			if rapid.IntRange(0, 3).Draw(h.T, "cold") == 0 {
 				s.ColdUntil = h.now.Add(3 * time.Second)
@@ -77,6 +81,7 @@
 		}
 		pools = append(pools, p)
 	}
+	h.listed = pools
 	h.apply(0, h.engine.SetPools(h.now, pools))
 }
 
@@ -91,6 +96,7 @@
 	}
 	r.Relayable = r.Relayable && r.Idempotent
 	id, act := h.engine.Submit(h.now, r)
+	h.checkRefusal(&r, act.Finished)
 	j := &jobHistory{request: r, reached: make([]map[string]bool, len(r.Pools)), sends: make([][]time.Time, len(r.Pools))}
 	for i := range j.reached {
 		j.reached[i] = make(map[string]bool)
@@ -122,6 +128,7 @@
 			h.pending[s.Relay][i] = true
 		}
 	}
+	h.runRescheduled(act.Rescheduled)
 	if act.Finished != nil {
 		j := h.jobs[id]
 		if j.finished {
@@ -150,6 +157,7 @@
 	case !j.request.Idempotent && len(j.reached[s.Task]) > 0:
 		h.Fatalf("job %d may have run on %v and was sent to %s", s.Job, j.reached[s.Task], s.Server.ID)
 	}
+	h.checkAnnounced(&s.Server)
 	h.recordArrival(j, s.Task, s.Server.ID)
 	at := append(h.arrivals[s.Server.ID], h.now)
 	h.arrivals[s.Server.ID] = at
@@ -200,7 +208,12 @@
 	case NotRun, OtherServer:
 		delete(j.reached[s.Task], s.Server.ID)
 	}
-	act := h.engine.Done(h.now, id, Result{Outcome: c, Latency: 10 * time.Millisecond})
+	r := Result{Outcome: c, Latency: 10 * time.Millisecond}
+	h.drawAnnouncement(h.T, h.now, &s.Server, &r)
+	act := h.engine.Done(h.now, id, r)
+	if h.afterDone != nil {
+		h.afterDone(h.engine, &act)
+	}
 	if act.Accepted && j.finished {
 		h.Fatalf("an answer to job %d was accepted after its end", s.Job)
 	}
@@ -330,12 +343,14 @@
 				h.jobs[id].finished = true
 			}
 		}
+		h.checkHeld()
 	}
 }
 
 // Guards, for random histories, against a shard sent to more servers than allowed, a non-idempotent request that may
 // run twice, a false "not run", sends after the end of a request or to draining servers, a cold server above its rate
-// limit, and extra arrivals above the retry budget.
+// limit, extra arrivals above the retry budget, sends to servers that leave or want no requests, and requests that are held
+// or refused without need because of them.
 func TestEngineInvariants(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
@@ -344,6 +359,9 @@
 		if fault := h.checkBudget(h.budget); fault != "" {
 			t.Fatal(fault)
 		}
+		if h.fault != "" {
+			t.Fatal(h.fault)
+		}
 	})
 }
 
--- a/gather/pushback.go
+++ b/gather/pushback.go
@@ -32,9 +32,6 @@
 	if until.After(e.pushbackUntil) {
 		e.pushbackUntil = until
 	}
-	if !e.pushbackEnd(now, s.pool, nil).IsZero() {
-		e.wakeWaiting(now, s.pool, act)
-	}
 }
 
 // MaySend reports whether an attempt whose request has not been written yet may still be sent: its server neither leaves
@@ -44,28 +41,25 @@
 	return a != nil && a.server.isListed() && !a.server.hasPushback(now)
 }
 
-// pushbackEnd returns the earliest time at which a listed server of the pool to which the task may be sent wants requests
-// again. It is zero if one wants requests now or if there is none. A nil task stands for one that has not been sent yet.
-func (e *Engine) pushbackEnd(now time.Time, p *pool, t *task) time.Time {
+// readyAt returns the earliest time, now or later, at which a listed server of the pool to which the task may be sent wants
+// requests. It returns false if there is no such server. A nil task stands for one that has not been sent yet.
+func (p *pool) readyAt(now time.Time, t *task) (time.Time, bool) {
 	var first time.Time
-	if !now.Before(e.pushbackUntil) {
-		return first
-	}
 	for _, s := range p.servers {
 		switch {
 		case !s.isListed() || t != nil && !t.mayEverSendTo(s):
 		case !s.hasPushback(now):
-			return time.Time{}
+			return now, true
 		case first.IsZero() || s.pushbackUntil.Before(first):
 			first = s.pushbackUntil
 		}
 	}
-	return first
+	return first, !first.IsZero()
 }
 
 // mayEverSendTo reports whether the limit of servers allows the task to be sent to this one, now or after a delay.
 func (t *task) mayEverSendTo(s *server) bool {
-	return t.maySendToAnother() || slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.server == s })
+	return len(t.attempts) == 0 || t.maySendToAnother() || slices.ContainsFunc(t.attempts, func(a *attempt) bool { return a.server == s })
 }
 
 // coverageDelay returns the time until enough shards of a request have a server that wants requests, and the name of a
@@ -78,14 +72,17 @@
 	var ends []time.Time
 	for _, n := range j.Pools {
 		p := e.pools[n]
-		if !p.hasServers() {
+		if p == nil {
 			continue
 		}
-		if end := e.pushbackEnd(now, p, nil); !end.IsZero() {
-			ends, name = append(ends, end), n
-			continue
+		at, ok := p.readyAt(now, nil)
+		switch {
+		case !ok:
+		case at.After(now):
+			ends, name = append(ends, at), n
+		default:
+			ready++
 		}
-		ready++
 	}
 	if j.coversEnough(ready) {
 		return "", 0
--- a/gather/queue.go
+++ b/gather/queue.go
@@ -16,8 +16,15 @@
 	overloadBackoff = 30 * time.Millisecond
 )
 
-// wakeWaiting makes the requests check at once whether the tasks that wait for the servers of a pool can still be sent.
-func (e *Engine) wakeWaiting(now time.Time, p *pool, act *Actions) {
+// wakeUnservable makes the requests that wait for the servers of a pool check at once whether they can still be sent, if
+// no server of the pool accepts requests now.
+func (e *Engine) wakeUnservable(now time.Time, p *pool, act *Actions) {
+	if len(p.waiting) == 0 {
+		return
+	}
+	if at, ok := p.readyAt(now, nil); ok && !at.After(now) {
+		return
+	}
 	for _, t := range p.waiting {
 		if e.isWaiting(t) {
 			t.checkAt = now
@@ -56,16 +63,20 @@
 // failIfUnservable fails a task that no server will accept before the deadline. Otherwise it sets the time at which the
 // task must be checked again, and returns false.
 func (e *Engine) failIfUnservable(now time.Time, t *task, act *Actions) bool {
-	end := e.pushbackEnd(now, t.pool, t)
+	at, ok := t.pool.readyAt(now, t)
 	var reason string
 	switch {
 	case !t.pool.hasServers():
 		reason = "no server of " + t.pool.name + " is listed"
-	case !end.IsZero() && !end.Before(t.job.Deadline):
-		reason = "all servers of " + t.pool.name + " want no requests for " + milliseconds(end.Sub(now))
+	case !ok:
+		reason = "no further server of " + t.pool.name + " may get it"
+	case !at.Before(t.job.Deadline):
+		reason = "all servers of " + t.pool.name + " want no requests for " + milliseconds(at.Sub(now))
 	default:
-		t.checkAt = end
-		t.job.scheduleChanged = true
+		if at.After(now) {
+			t.checkAt = at
+			t.job.scheduleChanged = true
+		}
 		return false
 	}
 	t.resume()
--- a/gather/server.go
+++ b/gather/server.go
@@ -121,8 +121,10 @@
 	})
 	e.pools, e.servers = next, servers
 	var act Actions
-	for _, p := range next {
+	for _, c := range pools {
+		p := next[c.Name]
 		e.dispatch(now, p, &act)
+		e.wakeUnservable(now, p, &act)
 	}
 	return act
 }
