--- a/gather/queue.go
+++ b/gather/queue.go
@@ -16,6 +16,74 @@
 	overloadBackoff = 30 * time.Millisecond
 )
 
+// wakeUnservable makes the requests that wait for the servers of a pool check at once whether they can still be sent, if
+// no server of the pool accepts requests now.
+func (e *Engine) wakeUnservable(now time.Time, p *pool, act *Actions) {
+	if len(p.waiting) == 0 {
+		return
+	}
+	if at, ok := p.readyAt(now, nil); ok && !at.After(now) {
+		return
+	}
+	for _, t := range p.waiting {
+		if e.isWaiting(t) {
+			t.checkAt = now
+			t.job.scheduleChanged = true
+			act.Rescheduled = append(act.Rescheduled, t.job.id)
+		}
+	}
+}
+
+// checkWaiting checks the waiting tasks of a request whose check is due. It sends those that a server accepts again, and
+// fails those that none will accept before the deadline.
+func (e *Engine) checkWaiting(now time.Time, j *job, act *Actions) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.checkAt.IsZero() || now.Before(t.checkAt) {
+			continue
+		}
+		t.checkAt = time.Time{}
+		switch {
+		case !e.isWaiting(t):
+		case e.failIfUnservable(now, t, act):
+		case t.checkAt.IsZero():
+			e.dispatch(now, t.pool, act)
+		}
+	}
+}
+
+// waitForServer queues a task for capacity at a server. It fails the task if no server will accept it before the
+// deadline.
+func (e *Engine) waitForServer(now time.Time, t *task, act *Actions) {
+	if !e.failIfUnservable(now, t, act) {
+		e.wait(t, time.Time{})
+	}
+}
+
+// failIfUnservable fails a task that no server will accept before the deadline. Otherwise it sets the time at which the
+// task must be checked again, and returns false.
+func (e *Engine) failIfUnservable(now time.Time, t *task, act *Actions) bool {
+	at, ok := t.pool.readyAt(now, t)
+	var reason string
+	switch {
+	case !t.pool.hasServers():
+		reason = "no server of " + t.pool.name + " is listed"
+	case !ok:
+		reason = "no further server of " + t.pool.name + " may get it"
+	case !at.Before(t.job.Deadline):
+		reason = "all servers of " + t.pool.name + " want no requests for " + milliseconds(at.Sub(now))
+	default:
+		if at.After(now) {
+			t.checkAt = at
+			t.job.scheduleChanged = true
+		}
+		return false
+	}
+	t.resume()
+	t.job.failTask(t, reason, act)
+	return true
+}
+
 // wait lets a task wait until the given time or, if that is zero, queues it for capacity at a server of its pool.
 func (e *Engine) wait(t *task, until time.Time) {
 	if !t.waiting {
@@ -41,7 +109,7 @@
 	if t.waiting {
 		t.job.waiting--
 	}
-	t.waiting, t.retryAt = false, time.Time{}
+	t.waiting, t.retryAt, t.checkAt = false, time.Time{}, time.Time{}
 }
 
 // isWaiting reports whether the task still waits for capacity.
--- a/gather/server.go
+++ b/gather/server.go
@@ -56,8 +56,8 @@
 	return false
 }
 
-// isListed reports whether the server accepts new requests, now or later: it is neither draining nor replaced.
-func (s *server) isListed() bool { return !s.Draining && !s.replaced }
+// isListed reports whether the server accepts new requests, now or later: it is neither draining, leaving nor replaced.
+func (s *server) isListed() bool { return !s.Draining && !s.replaced && !s.isLeaving() }
 
 // server holds the state of a backend server.
 type server struct {
@@ -70,8 +70,12 @@
 	concurrencyLimit int
 	// backoffUntil is the end of the overload backoff. It is set when the server rejects a request.
 	backoffUntil time.Time
+	// pushbackUntil is the end of the time for which the server has asked for no requests.
+	pushbackUntil time.Time
 	// replaced is set if another process has answered on the address, so that this server no longer exists.
 	replaced bool
+	// leavingSince is the time at which the server announced that it leaves, zero if it has not.
+	leavingSince time.Time
 	// delistedAt is the time at which the server was last removed from the list.
 	delistedAt time.Time
 }
@@ -100,6 +104,7 @@
 			}
 			delete(e.delisted, v.ID)
 			s.update(v, p)
+			s.leavingSince = e.leaving[processOf(&v, v.StartTime)]
 			servers[v.ID] = s
 			p.servers = append(p.servers, s)
 		}
@@ -111,11 +116,15 @@
 			e.delisted[id] = s
 		}
 	}
-	maps.DeleteFunc(e.delisted, func(_ string, s *server) bool { return now.Sub(s.delistedAt) > delistedRetention })
+	maps.DeleteFunc(e.delisted, func(_ string, s *server) bool {
+		return now.Sub(s.delistedAt) > delistedRetention && !s.hasPushback(now)
+	})
 	e.pools, e.servers = next, servers
 	var act Actions
-	for _, p := range next {
+	for _, c := range pools {
+		p := next[c.Name]
 		e.dispatch(now, p, &act)
+		e.wakeUnservable(now, p, &act)
 	}
 	return act
 }
@@ -126,7 +135,7 @@
 		v.ColdUntil = s.ColdUntil
 	}
 	if !v.StartTime.Equal(s.StartTime) {
-		s.replaced = false
+		s.replaced, s.pushbackUntil = false, time.Time{}
 	}
 	s.Server, s.pool = v, p
 }
