Wait for the end of the first request in the test of the counts of a stop

Its first request was still open at the server when the caller had read its answer, so that the wait for two open requests ended before the second one had arrived.

--- a/front/stoplog_test.go
+++ b/front/stoplog_test.go
@@ -195,6 +195,7 @@
 	fmt.Fprint(idle, "GET /lookup/0 HTTP/1.1\r\nHost: ledger.example\r\nRequest-Id: r0\r\n\r\n")
 	_, _, err := readResponse(in)
 	is.NoErr(err)
+	f.waitFor("the first request has ended", func() bool { return n.requests() == 0 })
 	f.servers["ledger-lukang"].SetFaults(fake.RoutedFaults{Hang: 1})
 	f.request(n, http.MethodGet, "hanging", "/payment/x")
 	gone := f.request(n, http.MethodGet, "gone", "/payment/x")
