Let the stand-in announce that it leaves or wants no requests

Cause: no test met both announcements between a caller and a server.

Change: RoutedFaults has Leaving, Reject and RetryAfter, and the stand-in records when requests arrive, also those that it rejects.

--- a/fake/routed.go
+++ b/fake/routed.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +65,12 @@
 	Slow time.Duration
 	// Cold is the remaining cold start time that responses announce, with a resolution of 1 ms; 0 means none.
 	Cold time.Duration
+	// Leaving makes all responses announce that the server is about to stop, except those for another instance.
+	Leaving bool
+	// Reject is the share of requests that are rejected as if the queue were full. RetryAfter is the time for which
+	// rejections ask for no requests, with a resolution of 1 ms; 0 means none.
+	Reject     float64
+	RetryAfter time.Duration
 }
 
 // RoutedRun is a request that a server started to run.
@@ -102,9 +109,11 @@
 	// late holds the second copies of responses that are due before the next response on a connection.
 	late   map[net.Conn][]byte
 	opened int
-	runs   []*RoutedRun
-	shed   int
-	closed bool
+	// arrived holds the times of all requests for this instance.
+	arrived []time.Time
+	runs    []*RoutedRun
+	shed    int
+	closed  bool
 }
 
 // NewRoutedServer starts a server on the address; port 0 selects a free port. It returns an error if it
@@ -161,6 +170,13 @@
 	return list
 }
 
+// Arrivals returns the times at which requests for this instance arrived, whether they ran or not, oldest first.
+func (s *RoutedServer) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrived)
+}
+
 // AcceptedConnections returns the number of accepted connections.
 func (s *RoutedServer) AcceptedConnections() int {
 	s.mu.Lock()
--- a/fake/routed_answer.go
+++ b/fake/routed_answer.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/arbutusthread/arbutusthread/wire"
 )
 
 // routedRequestFaults holds the faults drawn for one request.
@@ -44,14 +46,18 @@
 	if target := r.Header.Get(names.Target); target != "" && target != id {
 		return s.write(c, r, http.StatusMisdirectedRequest, h, nil)
 	}
+	rejected := s.announce(h)
 	deadline := s.deadline(r)
-	switch s.waitForSlot(c, in, deadline) {
+	slot := slotRejected
+	if !rejected {
+		slot = s.waitForSlot(c, in, deadline)
+	}
+	switch slot {
 	case slotAcquired:
 	case slotCanceled:
 		return false
 	case slotRejected:
-		h.Set(names.NotRun, "1")
-		return s.write(c, r, http.StatusServiceUnavailable, h, nil) && s.repeatLate(c, r, h)
+		return s.reject(c, r, h)
 	}
 	defer func() { <-s.slots }()
 	run := s.recordRun(r, body)
@@ -79,6 +85,30 @@
 	return s.writeSuccess(c, r, h, d)
 }
 
+// announce records the arrival of a request, adds to the headers of its response what the server announces, and reports
+// whether the request must be rejected.
+func (s *RoutedServer) announce(h http.Header) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrived = append(s.arrived, time.Now())
+	if s.faults.Leaving {
+		h.Set(s.config.Headers.Leaving, wire.LeavingValue)
+	}
+	return s.faults.Reject > 0 && s.rand.Float64() < s.faults.Reject
+}
+
+// reject sends a rejection and reports whether the connection remains open.
+func (s *RoutedServer) reject(c net.Conn, r *http.Request, h http.Header) bool {
+	h.Set(s.config.Headers.NotRun, "1")
+	s.mu.Lock()
+	wait := s.faults.RetryAfter
+	s.mu.Unlock()
+	if wait > 0 {
+		h.Set(s.config.Headers.RetryAfter, strconv.FormatFloat(wait.Round(time.Millisecond).Seconds(), 'f', -1, 64))
+	}
+	return s.write(c, r, http.StatusServiceUnavailable, h, nil) && s.repeatLate(c, r, h)
+}
+
 // repeatLate draws whether a second copy of a rejection is sent before the next response on the connection.
 func (s *RoutedServer) repeatLate(c net.Conn, r *http.Request, h http.Header) bool {
 	if !s.drawFaults().lateRejection {
