--- a/gather/explain.go
+++ b/gather/explain.go
@@ -29,6 +29,26 @@
 	return b.String()
 }
 
+// describeNoServers describes, for the log, why a pool has no server that accepts new requests.
+func (p *pool) describeNoServers() string {
+	var draining, leaving, replaced int
+	for _, s := range p.servers {
+		switch {
+		case s.Draining:
+			draining++
+		case s.isLeaving():
+			leaving++
+		case s.replaced:
+			replaced++
+		}
+	}
+	if len(p.servers) == 0 {
+		return "no server of " + p.name + " is listed"
+	}
+	return "no server of " + p.name + " accepts requests: " + strconv.Itoa(draining) + " draining or evacuated, " +
+		strconv.Itoa(leaving) + " leaving, " + strconv.Itoa(replaced) + " replaced"
+}
+
 // target returns the ID of the server of an attempt, or the address of its relay.
 func (a *attempt) target() string {
 	if a.server == nil {
--- a/gather/job.go
+++ b/gather/job.go
@@ -92,7 +92,7 @@
 		t := &j.tasks[i]
 		t.job, t.index, t.pool = j, i, e.poolOf(r.Pools[i])
 		if !t.pool.hasServers() {
-			j.failTask(t, "no server of "+r.Pools[i]+" is listed", &act)
+			j.failTask(t, t.pool.describeNoServers(), &act)
 			continue
 		}
 		if !j.Relayed {
@@ -138,16 +138,15 @@
 
 // refusalReason returns the reason why the request cannot be served, or the empty string if it can.
 func (e *Engine) refusalReason(now time.Time, j *job) string {
-	missing := 0
-	name := ""
+	missing, reason := 0, ""
 	for _, p := range j.Pools {
 		if !e.pools[p].hasServers() {
 			missing++
-			name = p
+			reason = e.poolOf(p).describeNoServers()
 		}
 	}
 	if missing > 0 && !j.coversEnough(len(j.Pools)-missing) {
-		return "no server of " + name + " is listed"
+		return reason
 	}
 	if name, wait := e.coverageDelay(now, j); wait > 0 {
 		return "all servers of " + name + " want no requests for " + milliseconds(wait)
--- a/gather/leaving_test.go
+++ b/gather/leaving_test.go
@@ -187,3 +187,18 @@
 	is.Equal(end.Finished.End, Failed)
 	is.True(end.Finished.MayHaveRun)
 }
+
+// Guards against a refusal whose cause an operator cannot see: the servers are listed, but accept no requests.
+func TestRefusalNamesTheStateOfServers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture()
+	p := pair("a")
+	p.Servers[0].Draining = true
+	f.SetPools(f.now, []Pool{p})
+	f.leave(f.submit(f.request("a")).Sends[0], OK)
+	is.Equal(f.submit(f.request("a")).Finished.Reason,
+		"no server of a accepts requests: 1 draining or evacuated, 1 leaving, 0 replaced")
+	is.Equal(f.submit(f.request("b")).Finished.Reason, "no server of b is listed")
+	is.Equal(f.Status(f.now)[0].LeavingSince, f.now)
+}
--- a/gather/queue.go
+++ b/gather/queue.go
@@ -67,7 +67,7 @@
 	var reason string
 	switch {
 	case !t.pool.hasServers():
-		reason = "no server of " + t.pool.name + " is listed"
+		reason = t.pool.describeNoServers()
 	case !ok:
 		reason = "no further server of " + t.pool.name + " may get it"
 	case !at.Before(t.job.Deadline):
