Leave dead nodes out of directory answers when few nodes are left

Cause: a member is Down when two of its observers suspect it. With one to three nodes of nine left, most members have one living observer or none, so that the last nodes name dead ones for as long as they live.

Change: a node with a suspicion that nobody confirms probes 16 members, two per tick. If most of them are silent or recently lost, it is isolated. When the platform has been read since, by this node or by one that answers it, and the members stay silent afterwards, it marks them as silent and leaves them out of directory answers. The marks are local, and no member is declared Down or dropped because of them; a member that answers is named again. A node that is cut off from the others and from the platform goes on naming all members. The reader rank of an isolated node counts only members that answer; otherwise a last node with a high rank would never read the platform.

--- a/fleet/detect.go
+++ b/fleet/detect.go
@@ -75,6 +75,10 @@
 	if u.Observer == u.Address || slices.Contains(r.observers, u.Observer) {
 		return
 	}
+	if len(r.observers) == 0 {
+		r.firstSuspectedAt = n.now
+		n.unresolved = append(n.unresolved, r)
+	}
 	r.observers = append(r.observers, u.Observer)
 	n.floodUpdate(u, from)
 	// A fleet of two has one observer for each member.
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -45,6 +45,9 @@
 	State         State          `json:"State" cbor:"8,keyasint"`
 	Millicores    int            `json:"Millicores,omitempty" cbor:"9,keyasint,omitempty"`
 	Status
+	// Silent means that this node is one of few that are left and the member does not answer. It is local and not sent
+	// to other nodes.
+	Silent bool `json:"-" cbor:"-"`
 }
 
 // Status holds the conditions that a member reports about itself in addition to its state.
@@ -82,8 +85,12 @@
 	leftGracefully bool
 	// observers are the members that suspect this member at its current incarnation and sequence.
 	observers []netip.AddrPort
+	// firstSuspectedAt is when the first of them suspected the member; zero if there are none.
+	firstSuspectedAt time.Time
 	// suspectedAt is when enough observers had suspected the member; zero if too few have.
 	suspectedAt time.Time
+	// heardAt is when the last message from the member arrived.
+	heardAt time.Time
 }
 
 func (r *record) isUp() bool       { return r.State == StateAlive || r.State == StateLeaving }
@@ -117,7 +124,7 @@
 	r = t.records[m.Address]
 	if r == nil {
 		r = &record{Member: m, hash: hashAddress(m.Address), downIndex: -1}
-		r.State = ""
+		r.State, r.Silent = "", false
 		t.records[m.Address] = r
 	} else if !m.newerThan(r.Member) {
 		return r, r.State, false
@@ -132,8 +139,9 @@
 	t.digest ^= r.digestTerm
 	r.leftGracefully = m.Incarnation == r.Incarnation && m.State == StateDown &&
 		(r.leftGracefully || previous == StateLeaving)
+	m.Silent = r.Silent && m.State != StateDown
 	r.Member = m
-	r.observers, r.suspectedAt = nil, time.Time{}
+	r.observers, r.firstSuspectedAt, r.suspectedAt = nil, time.Time{}, time.Time{}
 	r.digestTerm = r.computeDigestTerm()
 	t.digest ^= r.digestTerm
 	if wasUp != r.isUp() {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -117,7 +117,8 @@
 
 // Kinds of events.
 const (
-	// MemberUp, MemberLeaving and MemberDown report a state change of a member.
+	// MemberUp, MemberLeaving and MemberDown report a state change of a member. MemberDown with Silent set reports
+	// that a member does not answer this node, which is one of few that are left, and MemberUp that it answers again.
 	MemberUp      EventKind = "MemberUp"
 	MemberLeaving EventKind = "MemberLeaving"
 	MemberDown    EventKind = "MemberDown"
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -52,6 +52,11 @@
 	feed    feedState
 	boot    bootstrap
 
+	isolation isolation
+	// unresolved lists the members that an observer suspected. Those that were declared Down or have refuted the
+	// suspicion are removed at the next tick.
+	unresolved []*record
+
 	notes      map[string]Note
 	noteDigest uint64
 	nextExpiry time.Time
@@ -122,6 +127,9 @@
 		n.storeNote(from, k)
 	}
 	r := n.table.records[from]
+	if r != nil {
+		r.heardAt = n.now
+	}
 	switch {
 	case r == nil || r.Incarnation < m.Incarnation:
 		n.sendMembers(from, Member{Address: from, State: StateDown})
@@ -155,6 +163,8 @@
 	n.sendHellos()
 	n.sendHeartbeats()
 	n.probe()
+	n.search()
+	n.markSilent()
 	n.tickLeases()
 	n.expireNotes()
 	n.checkReady()
@@ -172,6 +182,12 @@
 		// Acks missing during a pause do not indicate a failure of the peer.
 		e.acked, e.misses = true, 0
 	}
+	for _, r := range n.unresolved {
+		r.firstSuspectedAt = n.now
+	}
+	if !n.isolation.isolated {
+		n.isolation = isolation{marked: n.isolation.marked}
+	}
 	for _, r := range n.suspects {
 		if !r.suspectedAt.IsZero() {
 			r.suspectedAt = n.now
--- a/fleet/query.go
+++ b/fleet/query.go
@@ -88,7 +88,8 @@
 
 // ReaderRank returns 0 for the two nodes that read the platform: of the live members of the region that
 // are not blind, the one with the lowest hash, and the one with the lowest hash in the other failure
-// domains. Other nodes take over in order of their rank when the platform data becomes stale.
+// domains. Other nodes take over in order of their rank when the platform data becomes stale. An isolated node
+// counts only the members that answer it.
 func (n *Node) ReaderRank() int {
 	blind := 0
 	for _, r := range n.table.records {
@@ -99,7 +100,8 @@
 	var first, second *record
 	rank := 1
 	reads := func(r *record) bool {
-		return r.State == StateAlive && r.Region == n.self.Region && (!r.Blind || blind >= blindThreshold)
+		return r.State == StateAlive && r.Region == n.self.Region && n.isReachable(r) &&
+			(!r.Blind || blind >= blindThreshold)
 	}
 	for _, r := range n.table.records {
 		if !reads(r) {
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -112,14 +112,17 @@
 	bytes           int
 }
 
-func newSim(seed uint64, r rules) *sim {
+func newSim(seed uint64, r rules) *sim { return newSimOf(simNodes, seed, r) }
+
+// newSimOf returns a simulation of a fleet with the given number of nodes.
+func newSimOf(size int, seed uint64, r rules) *sim {
 	s := &sim{
 		rules: r, rng: rand.New(rand.NewPCG(seed, 1)), byAddr: make(map[netip.AddrPort]*proc),
 		docs: make(map[uint64]*conf.Document), blocked: make(map[[2]netip.AddrPort]int),
 		leases: make(map[sliceKey]map[*proc]leaseSpan),
 	}
 	s.publishDocument(nil, false)
-	for i := range simNodes {
+	for i := range size {
 		s.start(simAddress(i), s.latest)
 	}
 	s.scheduleListing()
@@ -153,7 +156,7 @@
 }
 
 func simAddress(i int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
 }
 
 func simDomain(a netip.AddrPort) string {
--- a/node/place.go
+++ b/node/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +24,7 @@
 	k := addressKey{host, place.Caller{FailureDomain: domain, Region: region}}
 	list, generation, ok := n.addressCache.get(k)
 	if !ok {
-		list = place.Choose(host, t.Host(host), *n.activeDomains.Load(), k.caller, nodesOf(n.peer.Members()))
+		list = place.Choose(host, t.Host(host), *n.activeDomains.Load(), k.caller, nodesOf(answering(n.peer.Members())))
 		n.addressCache.put(k, list, generation)
 	}
 	return list, answerTTL
@@ -72,6 +73,12 @@
 	a.generation++
 }
 
+// answering returns the members that are not silent, in the same array. Silent ones still count where bounds are shared,
+// since they may be alive.
+func answering(members []fleet.Member) []fleet.Member {
+	return slices.DeleteFunc(members, func(m fleet.Member) bool { return m.Silent })
+}
+
 // nodesOf returns the members that are alive and have a caller address.
 func nodesOf(members []fleet.Member) []place.Node {
 	nodes := make([]place.Node, 0, len(members))
