Answer all requests by 0.85 of the stop time

Cause: the share was chosen without a measurement of what it costs callers. A later end answers more requests of slow servers, an earlier one leaves a busy machine more time to write the answers before the process is killed.

--- a/front/run.go
+++ b/front/run.go
@@ -22,7 +22,7 @@
 	acceptStopShare = 0.6
 	// answerShare is the share of the stop time by which all requests are answered, the ones that are still waiting for
 	// a server with a failure. abortShare is the share after which the remaining connections are closed.
-	answerShare = 0.9
+	answerShare = 0.85
 	abortShare  = 0.97
 	// defaultStopTime is used if the settings specify no stop time.
 	defaultStopTime = 10 * time.Second
