Act on requests that a change of the list leaves without a server, and export the new states of servers

Cause: requests whose servers leave or want no requests are rescheduled by the engine, which only the end of an attempt acted on. After a change of the list they ended at their next tick. Change: startAttempts sets their timers on all paths; the gauges servers_leaving and servers_pushback. The tests of node and gather pass.

--- a/node/attempt.go
+++ b/node/attempt.go
@@ -59,11 +59,6 @@
 		Outcome: outcome, Latency: r.Latency, ColdRemaining: r.ColdRemaining, Leaving: r.Leaving,
 		RetryAfter: r.RetryAfter, Detail: r.Message,
 	})
-	for _, id := range act.Rescheduled {
-		if other := n.calls[id]; other != nil {
-			n.scheduleTick(now, other)
-		}
-	}
 	if n.calls[c.id] != c {
 		n.startAttempts(now, act)
 		n.logDecisions(c, act)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -75,6 +75,8 @@
 	m.SetGauge("shards_waiting", float64(load.Waiting))
 	m.SetGauge("servers", float64(load.Servers))
 	m.SetGauge("servers_ejected", float64(load.Ejected))
+	m.SetGauge("servers_leaving", float64(load.Leaving))
+	m.SetGauge("servers_pushback", float64(load.Pushback))
 	m.SetGauge("nodes_sharing", float64(load.Nodes))
 	m.SetGauge("goroutines", float64(runtime.NumGoroutine()))
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -202,7 +202,7 @@
 }
 
 // startAttempts sends the attempts of the actions, which may belong to any call: the end of one request may free
-// permits for another. The caller holds n.mu.
+// permits for another. It also sets the timers of the calls that the actions have rescheduled. The caller holds n.mu.
 func (n *Node) startAttempts(now time.Time, act gather.Actions) {
 	var last *call
 	for _, s := range act.Sends {
@@ -219,6 +219,11 @@
 	if last != nil {
 		n.scheduleTick(now, last)
 	}
+	for _, id := range act.Rescheduled {
+		if other := n.calls[id]; other != nil {
+			n.scheduleTick(now, other)
+		}
+	}
 }
 
 // cancelAll cancels the running attempts with these IDs after a delay.
