Wait for a log writer that only lacks processor time

Cause: Close gave up after 100 ms and a warning after 50 ms, whether the output accepted nothing or the writer had not run.

Change: they give up when a write has not returned for that long, and after 1 s in any case.

--- a/logs/logs.go
+++ b/logs/logs.go
@@ -25,12 +25,15 @@
 	// atomicWriteBytes is PIPE_BUF of Linux: writes to a pipe up to this size are atomic, so they are not
 	// interleaved with those of other processes.
 	atomicWriteBytes = 4096
-	// closeTimeout is the maximum time that Close waits for the final flush. It is short because a process that stops has
-	// little time left, and nobody may be reading its output.
+	// closeTimeout is the maximum time that Close waits for a write to return. It is short because a process that stops
+	// has little time left, and nobody may be reading its output.
 	closeTimeout = 100 * time.Millisecond
-	// syncTimeout is the maximum time that a log call waits for the output. After a wait of this length no log call
-	// waits until the output accepts data again.
+	// syncTimeout is the maximum time that a log call waits for a write to return. After a wait of this length no log
+	// call waits until the output accepts data again.
 	syncTimeout = 50 * time.Millisecond
+	// maxWait is the maximum time that Close or a log call waits, also for a writer that gets no processor time.
+	maxWait            = time.Second
+	stuckCheckInterval = 5 * time.Millisecond
 )
 
 // Config configures an Output.
@@ -51,6 +54,8 @@
 	done   chan struct{}
 	// stuck is set while the output accepts no data.
 	stuck atomic.Bool
+	// writingSince is the time at which the present write to the output began, in Unix nanoseconds; 0 if there is none.
+	writingSince atomic.Int64
 
 	mu            sync.Mutex
 	pending       bytes.Buffer
@@ -87,12 +92,30 @@
 	return o.dropped
 }
 
-// Close flushes the buffer and stops the writer. It waits at most closeTimeout.
+// Close flushes the buffer and stops the writer. It waits at most maxWait, and closeTimeout for an output that accepts
+// nothing.
 func (o *Output) Close() {
 	close(o.closed)
-	select {
-	case <-o.done:
-	case <-time.After(closeTimeout):
+	o.wait(o.done, closeTimeout)
+}
+
+// wait waits until the channel is closed or receives, and reports false if it gives up: when a write has not returned for
+// stuckTime, or after maxWait. A writer that only gets no processor time is waited for.
+func (o *Output) wait(done <-chan struct{}, stuckTime time.Duration) bool {
+	t := time.NewTicker(stuckCheckInterval)
+	defer t.Stop()
+	limit := time.After(maxWait)
+	for {
+		select {
+		case <-done:
+			return true
+		case <-limit:
+			return false
+		case now := <-t.C:
+			if since := o.writingSince.Load(); since != 0 && now.UnixNano()-since >= int64(stuckTime) {
+				return false
+			}
+		}
 	}
 }
 
@@ -113,26 +136,24 @@
 	return len(line), nil
 }
 
-// sync waits until the buffered lines are written, at most syncTimeout and not at all while the output is stuck.
+// sync waits until the buffered lines are written, and not at all while the output is stuck.
 func (o *Output) sync() {
 	if o.stuck.Load() {
 		return
 	}
-	t := time.NewTimer(syncTimeout)
-	defer t.Stop()
 	written := make(chan struct{})
-	select {
-	case o.syncs <- written:
-	case <-o.done:
-		return
-	case <-t.C:
+	go o.requestSync(written)
+	if !o.wait(written, syncTimeout) {
 		o.stuck.Store(true)
-		return
 	}
+}
+
+// requestSync passes a request for a sync to the writer as soon as it is free.
+func (o *Output) requestSync(written chan struct{}) {
 	select {
-	case <-written:
-	case <-t.C:
-		o.stuck.Store(true)
+	case o.syncs <- written:
+	case <-o.done:
+		close(written)
 	}
 }
 
@@ -195,7 +216,9 @@
 		l.Warn("log lines dropped", "Lines", unreported)
 	}
 	for batch.Len() > 0 {
+		o.writingSince.Store(time.Now().UnixNano())
 		_, _ = o.config.Output.Write(batch.Next(wholeLines(batch.Bytes())))
+		o.writingSince.Store(0)
 	}
 }
 
