Do not excuse requests that a node cancels as broken off by the server

Found by the review: a run that is drawn to lose its answer counted as broken off although the node had closed the connection first, so that the check of rolling restarts excused the request.

--- a/fake/routed_answer.go
+++ b/fake/routed_answer.go
@@ -66,8 +66,8 @@
 		s.crash()
 		return false
 	}
-	if !s.simulateWork(c, in, run, d, deadline) || d.lose || d.hang {
-		s.setBrokenOff(run, d.lose)
+	if open := s.simulateWork(c, in, run, d, deadline); !open || d.lose || d.hang {
+		s.setBrokenOff(run, open && d.lose)
 		reset(c)
 		return false
 	}
