--- a/front/writer.go
+++ b/front/writer.go
@@ -41,5 +41,6 @@
 	if w.begun {
 		panic(http.ErrAbortHandler)
 	}
+	clear(w.Header()) // such as the seal of a server
 	http.Error(w, "internal error", http.StatusBadGateway)
 }
