--- a/gather/stop_test.go
+++ b/gather/stop_test.go
@@ -61,3 +61,18 @@
 	r.Deadline = f.now.Add(8 * time.Second)
 	is.Equal(f.submit(r).Finished.End, Refused)
 }
+
+// Guards against a request that ends as failed, with another status than at its deadline, because the time-out of its last
+// attempt is reported before the tick at the deadline.
+func TestTimeOutAtTheDeadlineEndsAsExpired(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture()
+	r := f.request("a")
+	r.MaxAttempts = 1
+	_, act := f.Submit(f.now, r)
+	f.now = r.Deadline.Add(time.Millisecond)
+	act = f.Done(f.now, act.Sends[0].Attempt, Result{Outcome: TimedOut, Latency: time.Second, Detail: "no answer"})
+	is.Equal(act.Finished.End, Expired)
+	is.True(act.Finished.MayHaveRun)
+}
