--- a/gather/finish.go
+++ b/gather/finish.go
@@ -96,7 +96,7 @@
 	switch {
 	case j.answered == total:
 		e.finish(now, j, Complete, act)
-	case !j.coversEnough(total - j.failed) && !now.Before(j.Deadline):
+	case !j.coversEnough(total-j.failed) && !now.Before(j.Deadline):
 		// The attempts of a request time out at its deadline. On a busy node they may do so before the tick that ends it.
 		e.finish(now, j, Expired, act)
 	case !j.coversEnough(total - j.failed):
--- a/soak/process.go
+++ b/soak/process.go
@@ -20,9 +20,11 @@
 
 // process is one node process. Faults that end it restart it.
 type process struct {
-	name     string
-	binary   string
+	name   string
+	binary string
+	// settings is the file with the current settings.
 	settings string
+	current  *conf.Settings
 	log      *os.File
 	domain   string
 	caller   netip.AddrPort
@@ -60,7 +62,7 @@
 	if err != nil {
 		return errors.Wrap(err, "soak: settings")
 	}
-	p.settings = filepath.Join(dir, p.name+".json")
+	p.settings, p.current = filepath.Join(dir, p.name+".json"), s
 	if err := os.WriteFile(p.settings, b, 0o600); err != nil {
 		return errors.Wrap(err, "soak: settings")
 	}
@@ -72,6 +74,21 @@
 	return p.start()
 }
 
+// reload writes changed settings and sends SIGHUP.
+func (p *process) reload(change func(*conf.Settings)) error {
+	p.mu.Lock()
+	next := *p.current
+	change(&next)
+	p.current = &next
+	b, err := json.MarshalIndent(&next, "", " ")
+	if err == nil {
+		err = os.WriteFile(p.settings, b, 0o600)
+	}
+	p.mu.Unlock()
+	p.signal(syscall.SIGHUP)
+	return errors.Wrap(err, "soak: change settings")
+}
+
 // start starts the process. The caller must hold p.mu.
 func (p *process) start() error {
 	c := exec.CommandContext(context.Background(), p.binary, "node", "--config", p.settings)
--- a/soak/roll.go
+++ b/soak/roll.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"fmt"
@@ -77,6 +78,9 @@
 	// the end of the stop time.
 	LongestStop time.Duration
 	Killed      int
+	// Reloads is the number of times that a node has applied changed settings after SIGHUP. A node that is stopping does
+	// not.
+	Reloads int
 	// Dir is the directory with the settings and logs of the nodes. It is removed if no request was lost, unless Keep
 	// is set.
 	Dir string `json:"Dir,omitempty"`
@@ -114,6 +118,13 @@
 		return nil, errors.Wrap(err, "soak: run")
 	}
 	r := newRollChecker(w).report()
+	for _, n := range w.nodes {
+		log, err := os.ReadFile(n.log.Name())
+		if err != nil {
+			return nil, errors.Wrapf(err, "soak: log of %s", n.name)
+		}
+		r.Reloads += bytes.Count(log, []byte(`"settings reloaded"`))
+	}
 	if r.LostCount > 0 || c.Keep {
 		r.Dir = dir
 		return r, nil
@@ -126,6 +137,8 @@
 	// after the last stop.
 	rollWarmUp = 6 * time.Second
 	rollSettle = 2 * time.Second
+	// reloadLead is the time from the SIGHUP that precedes each stop to its SIGTERM.
+	reloadLead = 200 * time.Millisecond
 	// overlapDelay is the maximum time after a SIGTERM at which SIGHUPs and configurations follow.
 	overlapDelay = 5 * time.Second
 )
@@ -160,10 +173,12 @@
 	for range w.config.Rounds {
 		for _, i := range r.Perm(len(w.nodes)) {
 			n := w.nodes[i]
-			restarts.Go(func() { failed.add(w.stopNode(n)) })
 			if w.config.Overlap {
+				failed.add(w.reload(n))
+				clock.Sleep(ctx, reloadLead)
 				w.overlap(ctx, r, &restarts, &failed)
 			}
+			restarts.Go(func() { failed.add(w.stopNode(n)) })
 			clock.Sleep(ctx, w.config.Gap)
 		}
 	}
@@ -177,8 +192,7 @@
 	reloadAfter, publishAfter := time.Duration(r.Int64N(int64(overlapDelay))), time.Duration(r.Int64N(int64(overlapDelay)))
 	running.Go(func() {
 		clock.Sleep(ctx, reloadAfter)
-		w.addWork(&plannedWork{kind: workReload, node: n, nodeStart: n.startCount(), at: time.Now()})
-		n.signal(syscall.SIGHUP)
+		failed.add(w.reload(n))
 	})
 	running.Go(func() {
 		clock.Sleep(ctx, publishAfter)
@@ -186,6 +200,12 @@
 	})
 }
 
+// reload changes the settings of a node and sends SIGHUP.
+func (w *rollWorld) reload(n *process) error {
+	w.addWork(&plannedWork{kind: workReload, node: n, nodeStart: n.startCount(), at: time.Now()})
+	return n.reload(func(s *conf.Settings) { s.Bounds.RetrySlack++ })
+}
+
 // stopNode stops a node, kills it at the end of the stop time if it is still running, and starts it again.
 func (w *rollWorld) stopNode(n *process) error {
 	n.mu.Lock()
@@ -238,9 +258,9 @@
 // String returns the report in one line for each lost request.
 func (r *RollReport) String() string {
 	s := fmt.Sprintf("seed %d: %d requests, %d answered, %d refused, %d failed, %d without an answer in time, %d crossed a close, "+
-		"%d excused, %d ended by a stop (%d too soon), longest stop %s, %d killed, %d lost\n",
+		"%d excused, %d ended by a stop (%d too soon), longest stop %s, %d killed, %d reloads, %d lost\n",
 		r.Seed, r.Requests, r.Answered, r.Refused, r.Failed, r.GaveUp, r.Crossed, r.Excused, r.EndedByStop, r.EndedTooSoon,
-		r.LongestStop.Round(time.Millisecond), r.Killed, r.LostCount)
+		r.LongestStop.Round(time.Millisecond), r.Killed, r.Reloads, r.LostCount)
 	for _, x := range r.Lost {
 		s += "  " + x + "\n"
 	}
--- a/soak/roll_check.go
+++ b/soak/roll_check.go
@@ -103,7 +103,7 @@
 	from := stop.at.Add(time.Duration(excusedShare * float64(stopTime)))
 	to := stop.at.Add(stopTime)
 	for _, run := range c.runs[x.id] {
-		if run.At.Before(to) && (run.Ended.IsZero() || run.Ended.After(from)) {
+		if run.At.Before(to) && run.At.Before(x.end) && (run.Ended.IsZero() || run.Ended.After(from)) {
 			return "server at work"
 		}
 	}
--- a/soak/roll_test.go
+++ b/soak/roll_test.go
@@ -55,6 +55,7 @@
 		{name: "no server reached", sent: s, closed: 5700 * ms, lost: true},
 		{name: "within the slack and not passed on", sent: 3600 * ms, closed: 3700 * ms, crossed: true},
 		{name: "within the slack and passed on", sent: 3600 * ms, closed: 3700 * ms, runs: []fake.RoutedRun{ranFrom(3610*ms, 3700*ms)}, lost: true},
+		{name: "server that begins after the close", sent: s, closed: 4 * s, runs: []fake.RoutedRun{ranFrom(4100*ms, 5500*ms)}, lost: true},
 		{name: "deadline of the caller", sent: -300 * ms, closed: 5700 * ms, timeout: 6 * s, excused: true},
 		{name: "server broke off", sent: s, closed: 2 * s, runs: []fake.RoutedRun{brokenOff(ranFrom(s, 2*s))}, excused: true},
 		{name: "one of two servers broke off", sent: s, closed: 3 * s, runs: []fake.RoutedRun{brokenOff(ranFrom(s, 2*s)), ranFrom(2*s, 3*s)}, lost: true},
@@ -106,6 +107,8 @@
 			is.Equal(r.Lost, nil)
 			is.Equal(r.Killed, 0)
 			is.True(r.Answered > r.Requests/2)
+			is.True(r.EndedByStop > 0) // the stops met requests that outlive them
+			is.True(!c.Overlap || r.Reloads > 0)
 		})
 	}
 }
