--- a/front/conn.go
+++ b/front/conn.go
@@ -93,6 +93,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.request, c.open = openRequest{started: time.Now(), end: endDisconnected}, true
+	if c.closeCause != causeAbort {
+		c.closeCause = ""
+	}
 }
 
 // update changes the request in progress.
