Name the requests that a stopping node holds

Cause: a node that stops logged only their number, and named those that its abort cuts off. A process that is killed before could not say which requests it held.

Change: one line for each request in progress at SIGTERM and when the listener closes, up to 100. The tests of stops in front pass; TestStopCountsEndsOfRequests expects the lines.

--- a/front/conn.go
+++ b/front/conn.go
@@ -162,6 +162,15 @@
 	return "answer of " + strings.Join(p.Awaited[:min(len(p.Awaited), maxAwaitedText)], ", "), p.MayHaveRun
 }
 
+// attributes returns what the log says of the request.
+func (r *openRequest) attributes(now time.Time) []any {
+	waitsFor, ran := r.describe()
+	return []any{
+		"RequestId", r.id, "Route", r.route, "Age", now.Sub(r.started).Round(time.Millisecond),
+		"WaitsFor", waitsFor, "MayHaveRun", ran,
+	}
+}
+
 // Causes of the close of a connection, for the log.
 const (
 	causeIdle    = "idle timeout"
--- a/front/conns.go
+++ b/front/conns.go
@@ -112,9 +112,25 @@
 	return counts
 }
 
-// maxAbortLines is the maximum number of log lines for the requests that one abort cuts off. A process that stops has
-// little time left to write them.
-const maxAbortLines = 100
+// held returns the attributes for the log of the requests in progress, up to maxRequestLines.
+func (s *connSet) held(now time.Time) [][]any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var lines [][]any
+	for _, v := range s.conns {
+		v.mu.Lock()
+		r, open := v.request, v.open
+		v.mu.Unlock()
+		if open && len(lines) < maxRequestLines {
+			lines = append(lines, r.attributes(now))
+		}
+	}
+	return lines
+}
+
+// maxRequestLines is the maximum number of log lines for the requests that a stopping node holds, or that its abort cuts
+// off. A process that stops has little time left to write them.
+const maxRequestLines = 100
 
 // abortion is what an abort of all connections cuts off.
 type abortion struct {
@@ -145,12 +161,8 @@
 		a.requests++
 		s.ends[endAborted].Add(1)
 		s.count("requests_aborted")
-		if len(a.lines) < maxAbortLines {
-			waitsFor, ran := r.describe()
-			a.lines = append(a.lines, []any{
-				"RequestId", r.id, "Route", r.route, "Age", now.Sub(r.started).Round(time.Millisecond),
-				"WaitsFor", waitsFor, "MayHaveRun", ran,
-			})
+		if len(a.lines) < maxRequestLines {
+			a.lines = append(a.lines, r.attributes(now))
 		}
 	}
 	return a
--- a/front/run.go
+++ b/front/run.go
@@ -102,11 +102,13 @@
 	requests, connections := r.Server.conns.open()
 	before := r.Server.conns.endCounts()
 	r.Log.Info("node shutting down", "StopTime", stopTime, "Requests", requests, "Connections", connections)
+	r.logHeldRequests()
 	r.Leave(at(answerShare))
 	clock.Sleep(ctx, time.Until(at(drainStartShare)))
 	r.Server.Drain()
 	clock.Sleep(ctx, time.Until(at(acceptStopShare)))
 	callers.drain()
+	r.logHeldRequests()
 	ctx, cancel := context.WithDeadline(ctx, at(abortShare))
 	defer cancel()
 	if err := r.Server.Shutdown(ctx); err != nil {
@@ -126,6 +128,13 @@
 	return nil
 }
 
+// logHeldRequests names the requests in progress, because a process that is killed later cannot say what became of them.
+func (r *Runtime) logHeldRequests() {
+	for _, attributes := range r.Server.conns.held(time.Now()) {
+		r.Log.Info("request held", attributes...)
+	}
+}
+
 func serveAux(ctx context.Context, l net.Listener, h http.Handler) error {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: auxTimeout, WriteTimeout: auxTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
--- a/front/stoplog_test.go
+++ b/front/stoplog_test.go
@@ -221,6 +221,8 @@
 	is.Equal(len(end), 1)
 	is.True(strings.Contains(begin[0], "Requests=2 Connections=3"))
 	is.True(strings.Contains(end[0], "Answered=0 Refused=1 EndedByStop=1 Disconnected=1 Aborted=0 AbortedConnections=0"))
+	is.Equal(len(n.log.find("request held")), 3) // both at SIGTERM, and the hanging one when the listener closes
+	is.Equal(len(n.log.find("RequestId=hanging Route=payment")), 3)
 	is.Equal(len(n.log.find("level=WARN")), 0)
 }
 
@@ -290,15 +292,15 @@
 	is := is.New(t)
 	var r recorder
 	s := newConnSet(http.NotFoundHandler())
-	for range maxAbortLines + 50 {
+	for range maxRequestLines + 50 {
 		c, _ := net.Pipe()
 		connOf(s.add(t.Context(), c)).begin()
 	}
 	cut := s.abort(time.Now())
 	cut.log(r.logger())
-	is.Equal(len(r.find(`msg="request aborted"`)), maxAbortLines)
+	is.Equal(len(r.find(`msg="request aborted"`)), maxRequestLines)
 	is.Equal(r.find("further"), []string{"level=WARN msg=\"further requests aborted\" Requests=50\n"})
-	is.Equal(s.endCounts()[endAborted], int64(maxAbortLines+50))
+	is.Equal(s.endCounts()[endAborted], int64(maxRequestLines+50))
 }
 
 // Guards against a request that fails without a line because its handler panics.
