--- a/front/ending_world_test.go
+++ b/front/ending_world_test.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// endingStopTime is the stop time of the nodes in the tests of this file, that of the users' platform.
+	// endingStopTime is the stop time of the nodes in the tests of this file, that of the deployments.
 	endingStopTime = 6 * time.Second
 	// readSlack is the time after the last byte of a request by which a node must have read it.
 	readSlack = 200 * time.Millisecond
--- a/front/run.go
+++ b/front/run.go
@@ -111,12 +111,11 @@
 	r.logHeldRequests()
 	ctx, cancel := context.WithDeadline(ctx, at(abortShare))
 	defer cancel()
+	aborted := 0
 	if err := r.Server.Shutdown(ctx); err != nil {
-		_, connections = r.Server.conns.open()
+		_, aborted = r.Server.conns.open()
 		r.Log.Warn("requests in flight aborted at the end of the stop time", "Error", err)
 		r.Server.Close()
-	} else {
-		connections = 0
 	}
 	ended := r.Server.conns.endCounts()
 	for i := range ended {
@@ -124,7 +123,7 @@
 	}
 	r.Log.Info("node stopped", "After", time.Since(begin).Round(time.Millisecond), "Answered", ended[endAnswered],
 		"Refused", ended[endRefused], "EndedByStop", ended[endStopped], "Disconnected", ended[endDisconnected],
-		"Aborted", ended[endAborted], "AbortedConnections", connections)
+		"Aborted", ended[endAborted], "AbortedConnections", aborted)
 	return nil
 }
 
--- a/gather/pushback.go
+++ b/gather/pushback.go
@@ -6,8 +6,8 @@
 )
 
 // A server that rejects a request may ask for no requests for a time. During this pushback the node sends it nothing, no
-// hedge, retry or trial request either. The users allow two requests in that time, which are left to attempts that had
-// just obtained a connection when the rejection arrived.
+// hedge, retry or trial request either. Only attempts that had just obtained a connection when the rejection arrived may
+// still reach it.
 
 // pushbackJitter is the random fraction that is added to the end of a pushback in the Retry-After of callers, so that
 // they do not all come back at once.
--- a/soak/process.go
+++ b/soak/process.go
@@ -58,13 +58,10 @@
 
 // startFirst writes the settings and creates the log in a directory, and starts the process.
 func (p *process) startFirst(dir string, s *conf.Settings) error {
-	b, err := json.MarshalIndent(s, "", " ")
+	p.settings = filepath.Join(dir, p.name+".json")
+	err := p.writeSettings(s)
 	if err != nil {
-		return errors.Wrap(err, "soak: settings")
-	}
-	p.settings, p.current = filepath.Join(dir, p.name+".json"), s
-	if err := os.WriteFile(p.settings, b, 0o600); err != nil {
-		return errors.Wrap(err, "soak: settings")
+		return err
 	}
 	if p.log, err = os.Create(filepath.Join(dir, p.name+".log")); err != nil {
 		return errors.Wrap(err, "soak: log of a node")
@@ -79,14 +76,20 @@
 	p.mu.Lock()
 	next := *p.current
 	change(&next)
-	p.current = &next
-	b, err := json.MarshalIndent(&next, "", " ")
-	if err == nil {
-		err = os.WriteFile(p.settings, b, 0o600)
-	}
+	err := p.writeSettings(&next)
 	p.mu.Unlock()
 	p.signal(syscall.SIGHUP)
-	return errors.Wrap(err, "soak: change settings")
+	return err
+}
+
+// writeSettings replaces the settings file. The caller must hold p.mu once the process has been started.
+func (p *process) writeSettings(s *conf.Settings) error {
+	b, err := json.MarshalIndent(s, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "soak: settings")
+	}
+	p.current = s
+	return errors.Wrap(os.WriteFile(p.settings, b, 0o600), "soak: settings")
 }
 
 // start starts the process. The caller must hold p.mu.
