Let the stand-in of a backend read the bodies of all requests

TestCancelWaitsForTheServer failed in 3 of 60 runs: "Broken != Canceled", with "connection reset by peer" before anything was canceled.

Cause: the stand-in of the test answered POST /cancel without reading its body, and took it for the next request on that connection, which it then closed. Whether a query got that connection depended on timing. The client was right.

--- a/back/stand_test.go
+++ b/back/stand_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -45,6 +46,10 @@
 			if err != nil || !answer(n, q, c) {
 				return
 			}
+			// A body that is left unread would be taken for the next request.
+			if _, err := io.Copy(io.Discard, q.Body); err != nil {
+				return
+			}
 		}
 	}
 }
