review: repeat the slow servers of case 7

Cause: one window of 8 s gave 1 to 6 wrong successes a run, which could become none on another machine. Change: the servers turn slow four times.

--- a/review/testdata/world2/oneshard.go
+++ b/review/testdata/world2/oneshard.go
@@ -67,7 +67,9 @@
 		host    = "pupu76.example"
 		slowBy  = 12
 		slowFor = 8 * time.Second
-		length  = 16 * time.Second
+		calm    = 4 * time.Second
+		windows = 4
+		length  = windows*(calm+slowFor) + calm
 	)
 	set := []string{"desk-00"}
 	routes := []routeDoc{
@@ -77,6 +79,11 @@
 	w.store.put("op/config", newConfig(7, routes, []serviceDoc{{Name: set[0], HealthPath: "/healthz", MaxConns: 26, Protocol: "h1", ColdStartS: 3}}))
 	var mu sync.Mutex
 	slow := false
+	setSlow := func(v bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		slow = v
+	}
 	work := func() time.Duration {
 		mu.Lock()
 		defer mu.Unlock()
@@ -139,16 +146,15 @@
 			}
 		})
 	}
-	if trouble {
-		time.Sleep(3 * time.Second)
+	for range windows {
+		if !trouble {
+			break
+		}
+		time.Sleep(calm)
 		w.note("the servers turn slow")
-		mu.Lock()
-		slow = true
-		mu.Unlock()
+		setSlow(true)
 		time.Sleep(slowFor)
-		mu.Lock()
-		slow = false
-		mu.Unlock()
+		setSlow(false)
 		w.note("the servers are as fast as before")
 	}
 	group.Wait()
