--- a/review/testdata/world2/client.go
+++ b/review/testdata/world2/client.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -17,22 +16,17 @@
 type attempt struct {
 	id, host, method, uri string
 	body                  []byte
-	chunked               bool
 	deadline              time.Duration
 	sentAt                time.Time
-	// leave is the time after which the client closes its connection, 0 for never.
-	leave time.Duration
 }
 
 // outcome is what a client saw of its request.
 type outcome struct {
-	status   int
-	header   http.Header
-	body     []byte
-	err      error
-	sent     bool
-	leftConn bool
-	took     time.Duration
+	status int
+	header http.Header
+	body   []byte
+	err    error
+	took   time.Duration
 }
 
 func (o outcome) String() string {
@@ -64,14 +58,6 @@
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n",
 		a.method, a.uri, a.host, a.id, a.deadline.Milliseconds())
 	switch {
-	case a.chunked:
-		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-		for rest := a.body; len(rest) > 0; {
-			n := min(len(rest), 1+rand.IntN(4000))
-			fmt.Fprintf(&b, "%x\r\n%s\r\n", n, rest[:n])
-			rest = rest[n:]
-		}
-		b.WriteString("0\r\n\r\n")
 	case len(a.body) > 0 || a.method == http.MethodPost:
 		b.WriteString("Content-Length: " + strconv.Itoa(len(a.body)) + "\r\n\r\n")
 		b.Write(a.body)
@@ -81,24 +67,17 @@
 	return b.Bytes()
 }
 
-var errLeft = errors.New("the client has left")
+// answerTime is how long a client waits for an answer beyond its deadline.
+const answerTime = 2 * time.Second
 
 // do sends a request and reads the answer. It closes the connection if it cannot be used again.
 func (c *clientConn) do(a *attempt) outcome {
 	a.sentAt = time.Now()
-	wait := a.deadline + 2*time.Second
-	if a.leave > 0 {
-		wait = a.leave
-	}
-	_ = c.conn.SetDeadline(a.sentAt.Add(wait))
+	_ = c.conn.SetDeadline(a.sentAt.Add(a.deadline + answerTime))
 	var o outcome
 	finish := func(err error) outcome {
 		o.err, o.took = err, time.Since(a.sentAt)
 		if err != nil {
-			var t net.Error
-			if a.leave > 0 && errors.As(err, &t) && t.Timeout() {
-				o.err, o.leftConn = errLeft, true
-			}
 			c.close()
 		}
 		return o
@@ -106,7 +85,6 @@
 	if _, err := c.conn.Write(a.encode()); err != nil {
 		return finish(err)
 	}
-	o.sent = true
 	r, err := http.ReadResponse(c.in, &http.Request{Method: a.method})
 	if err != nil {
 		return finish(err)
--- a/review/testdata/world2/platform.go
+++ b/review/testdata/world2/platform.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/base64"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"sort"
@@ -209,5 +208,3 @@
 	Sequence int    `json:"sequence"`
 	Born     int64  `json:"born"`
 }
-
-func (b beatDoc) String() string { return fmt.Sprintf("%s at %s in %s", b.Service, b.Address, b.Zone) }
--- a/review/testdata/world2/server.go
+++ b/review/testdata/world2/server.go
@@ -34,7 +34,6 @@
 	conns    map[net.Conn]bool
 	closed   bool
 	sequence int
-	draining bool
 }
 
 // newServer starts a server. An address of "" selects a free port.
@@ -62,21 +61,10 @@
 		Service: s.service, Address: s.address, Zone: s.zone, Version: "v1", Slots: s.slots, State: "ready",
 		Sequence: s.sequence, Born: s.born, ColdMs: int(s.cold.Milliseconds()),
 	}
-	if s.draining {
-		b.State = "draining"
-	}
 	s.mu.Unlock()
 	s.w.store.put("servers/"+s.id, b)
 }
 
-// drain reports that the server leaves.
-func (s *server) drain() {
-	s.mu.Lock()
-	s.draining = true
-	s.mu.Unlock()
-	s.register()
-}
-
 func (s *server) accept() {
 	for {
 		c, err := s.listener.Accept()
