Merge only successes on routes with a single shard

Cause: gather took a request with one task for a request to one server, whose final failure is passed on. A single shard has one task too, so that its failure was accepted and merged. The same holds for a relay that gets one shard of many; the requesting node merged the failure with other parts.

Change: a request says whether its answers are merged. Only successes are answers of a merged request. The stand-in's failures bear a seal, as those of real servers do, and any status.

--- a/drill/caller.go
+++ b/drill/caller.go
@@ -34,7 +34,7 @@
 	r.attemptsLeft--
 	at := w.time().Add(callerDelay)
 	q := gather.Request{
-		Class: k.Name, Pools: w.pools, Idempotent: !k.AtMostOnce, Priority: k.Priority, MinCoverage: k.MinCoverage, MaxAttempts: 3,
+		Class: k.Name, Pools: w.pools, Merged: !k.SingleServer, Idempotent: !k.AtMostOnce, Priority: k.Priority, MinCoverage: k.MinCoverage, MaxAttempts: 3,
 		Deadline: epoch.Add(r.arrived + k.Deadline), Target: epoch.Add(r.arrived + k.Target - callerDelay),
 	}
 	if k.SingleServer {
--- a/fake/routed.go
+++ b/fake/routed.go
@@ -55,8 +55,9 @@
 	// LateRejection is the share of rejections of which a second copy is sent before the next response on the
 	// connection.
 	LateRejection float64
-	// InternalError is the share of requests that fail with status 500.
+	// InternalError is the share of requests that run and fail, with a seal and the status FailureStatus; 0 means 500.
 	InternalError float64
+	FailureStatus int
 	// CrashURI is a request URI that crashes the server.
 	CrashURI string
 	// RespondEarly makes the server respond to requests with a body before it has read the body.
--- a/fake/routed_answer.go
+++ b/fake/routed_answer.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"io"
 	"math/rand/v2"
@@ -79,7 +80,8 @@
 		h.Set(names.ColdRemaining, strconv.FormatInt(d.Cold.Milliseconds(), 10))
 	}
 	if d.fail {
-		return s.write(c, r, http.StatusInternalServerError, h, nil)
+		h.Set(names.Seal, RoutedSeal(id, run.RequestID))
+		return s.write(c, r, cmp.Or(d.FailureStatus, http.StatusInternalServerError), h, nil)
 	}
 	s.setBrokenOff(run, d.truncate)
 	return s.writeSuccess(c, r, h, d)
--- a/front/fleet_test.go
+++ b/front/fleet_test.go
@@ -138,7 +138,7 @@
 	return feed.Server{ID: id, Service: service, Address: f.servers[id].Address(), FailureDomain: domain, Slots: 2}
 }
 
-// testRoutes returns the routes of the tests: one over three shards and two to a single service.
+// testRoutes returns the routes of the tests: two over shards, of which one has a single shard, and others to a single service.
 func testRoutes() table.Config {
 	return table.Config{
 		Routes: []table.Route{
@@ -147,6 +147,11 @@
 				Timeout: wire.Duration(2 * time.Second), TargetLatency: wire.Duration(300 * time.Millisecond),
 				MaxAttempts: 2, TopK: 5, MinCoverage: 0.6,
 			},
+			{
+				Name: "desk", Host: "ledger.example", Prefix: "/desk/", Shards: []string{"a"}, Idempotent: true,
+				Timeout: wire.Duration(2 * time.Second), TargetLatency: wire.Duration(300 * time.Millisecond),
+				MaxAttempts: 2, TopK: 5, MinCoverage: 0.6,
+			},
 			{
 				Name: "lookup", Host: "ledger.example", Prefix: "/lookup/", Idempotent: true, MaxAttempts: 2,
 				Timeout: wire.Duration(2 * time.Second), Targets: []table.Target{{Service: "ledger", Weight: 1}},
--- a/front/serve_test.go
+++ b/front/serve_test.go
@@ -78,6 +78,23 @@
 	is.Equal(a.status, http.StatusGatewayTimeout)
 }
 
+// Guards against a success without a hit that is made of the failure of the only shard's server.
+func TestFailureOfTheOnlyShardIsNoSuccess(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, "lukang")
+	s := f.startServer("a", "lukang", fake.RoutedConfig{})
+	f.publishRoutes()
+	is.Equal(f.send(f.nodes[0], http.MethodGet, "/desk/x", "").status, http.StatusOK)
+	for _, status := range []int{
+		http.StatusFound, http.StatusNotFound, http.StatusInternalServerError, http.StatusServiceUnavailable, http.StatusGatewayTimeout,
+	} {
+		s.SetFaults(fake.RoutedFaults{InternalError: 1, FailureStatus: status})
+		a := f.send(f.nodes[0], http.MethodGet, "/desk/x", "", "Request-Timeout", "300")
+		is.True(a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout)
+		is.Equal(a.header.Get("Part-Seals"), "")
+	}
+}
+
 // Guards against statuses with wrong guarantees: 503 means that nothing has run, 502 and 504 leave this open,
 // and 404 is returned only if a configuration is present.
 func TestStatuses(t *testing.T) {
--- a/gather/attempt.go
+++ b/gather/attempt.go
@@ -101,7 +101,7 @@
 		return act
 	}
 	switch {
-	case r.Outcome == OK, len(j.tasks) == 1 && e.isFinal(now, t, r.Outcome):
+	case r.Outcome == OK, !j.Merged && len(j.tasks) == 1 && e.isFinal(now, t, r.Outcome):
 		t.answered = true
 		j.answered++
 		act.Accepted = true
@@ -122,10 +122,10 @@
 	}
 }
 
-// isFinal reports whether an answer that is not a success is passed on to the caller of a request with one shard. An
+// isFinal reports whether an answer that is not a success is passed on to the caller of a request that is not merged. An
 // answer with the outcome Answered, such as a redirect or a client error, always is. A server error is passed on when no
-// other attempt is in flight and no further one is allowed. In a request with several shards both count as failed
-// attempts, which are retried if the request allows it, because only successful answers are merged.
+// other attempt is in flight and no further one is allowed. In a merged request both count as failed attempts, which are
+// retried if the request allows it.
 func (e *Engine) isFinal(now time.Time, t *task, c Outcome) bool {
 	switch c {
 	case Answered:
--- a/gather/engine_test.go
+++ b/gather/engine_test.go
@@ -191,6 +191,33 @@
 	is.True(!f.done(act.Sends[0], Answered).Accepted)
 }
 
+// Guards against the failure of a server that is merged as the part of an index with a single shard: the caller would get a
+// success without a hit. A relay has a single shard as well when the shards are spread over several relays.
+func TestFailureOfASingleShardIsNotMerged(t *testing.T) {
+	t.Parallel()
+	for _, relayed := range []bool{false, true} {
+		for _, outcome := range []Outcome{Answered, ServerError} {
+			t.Run(fmt.Sprintf("%s, relayed %t", outcome, relayed), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				f := newFixture()
+				r := f.request("a")
+				r.Merged, r.Relayed = true, relayed
+				sends := f.submit(r).Sends
+				id := sends[0].Job
+				f.now = r.Deadline // no further attempt is allowed
+				end := f.done(sends[0], outcome)
+				is.True(!end.Accepted)
+				if end.Finished == nil {
+					end = f.Tick(f.now, id)
+				}
+				is.True(end.Finished.End == Expired || end.Finished.End == Failed)
+				is.Equal(end.Finished.Answered, 0)
+			})
+		}
+	}
+}
+
 // Guards against choosing a server that fails, is slow or does not answer.
 func TestUnhealthyServersAreAvoided(t *testing.T) {
 	t.Parallel()
--- a/gather/job.go
+++ b/gather/job.go
@@ -10,6 +10,9 @@
 	Class string
 	// Pools holds the name of the pool of each shard.
 	Pools []string
+	// Merged is set if the answers of the shards are merged into one. Only successes can be merged, however few shards
+	// there are. Otherwise the request has one shard, whose final answer is passed on whatever it says.
+	Merged bool
 	// Idempotent allows hedges, and retries after attempts that a server may have run.
 	Idempotent bool
 	// Relayable allows shards to be sent through relays.
--- a/node/relay.go
+++ b/node/relay.go
@@ -160,7 +160,7 @@
 		// A relay sends each shard at most once: retries and hedges are left to the requesting node. Idempotent lets
 		// the engine cancel attempts at hung servers.
 		job: gather.Request{
-			Class: q.Class, Pools: q.Pools, Idempotent: true, Relayed: true, MaxAttempts: 1,
+			Class: q.Class, Pools: q.Pools, Merged: true, Idempotent: true, Relayed: true, MaxAttempts: 1,
 			Deadline: now.Add(time.Duration(q.Timeout) * time.Millisecond),
 		},
 	}
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -68,6 +68,33 @@
 	is.True(slices.Equal(all.Records, gather.TopK([][]byte{fake.RoutedBody("answers", "/x", 8)}, 3)))
 }
 
+// Guards against a relay with a single shard that reports the failure of its server as a part of the answer.
+func TestRelayReportsTheFailureOfASingleShard(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	published, members := newFleet(t, 90, "lukang")
+	m := members[0]
+	s, err := fake.NewRoutedServer(netip.MustParseAddrPort("127.0.0.1:0"), fake.RoutedConfig{
+		ID: "fails", Faults: fake.RoutedFaults{InternalError: 1, FailureStatus: http.StatusNotFound},
+	})
+	is.NoErr(err)
+	defer s.Close()
+	published.PutServer(feed.Server{ID: "fails", Service: "fails", Address: s.Address(), FailureDomain: "lukang", Slots: 2})
+	published.SetConfig(config("fails"))
+	waitFor(t, "the list of servers", eventTimeout, func() bool { return hasService(m, "fails") && len(m.Status().Servers) == 1 })
+	var all wire.GatherPart
+	err = m.serveRelay(t.Context(), &wire.GatherQuery{
+		RequestID: "r1", Pools: []string{"fails"}, Class: "r", TopK: 3, ReplyIn: 50, Timeout: 1000, Method: http.MethodGet, URI: "/x", Host: "h",
+	}, func(p wire.GatherPart) error {
+		all.Answered = append(all.Answered, p.Answered...)
+		all.Failed = append(all.Failed, p.Failed...)
+		return nil
+	})
+	is.NoErr(err)
+	is.Equal(len(all.Answered), 0)
+	is.Equal(all.Failed, []int{0})
+}
+
 // Guards against a poison request that crashes one server after another through any node.
 func TestPoisonRequestIsQuarantined(t *testing.T) {
 	t.Parallel()
--- a/node/serve.go
+++ b/node/serve.go
@@ -107,7 +107,7 @@
 	c := &call{
 		request: r, forward: r.Forward, topK: r.Route.TopK,
 		job: gather.Request{
-			Class: r.Route.Name, Pools: pools, Idempotent: r.Route.Idempotent, MinCoverage: minCoverage(r.Route),
+			Class: r.Route.Name, Pools: pools, Merged: len(r.Route.Shards) > 0, Idempotent: r.Route.Idempotent, MinCoverage: minCoverage(r.Route),
 			MaxAttempts: r.Route.Attempts(), Priority: r.Route.Priority, Deadline: r.Deadline, Target: r.Target,
 			Relayable: len(r.Route.Shards) > 0 && len(r.Route.Regions) == 0,
 		},
