Treat a server whose address refuses connections as cold from then on

Cause: a server that starts again under its ID is, for a node, the warm one until the new entry has been read, up to 300 ms and the way through other nodes later. As no other server was usable, all that waited was sent as soon as it listened.

Change: after a refused connection the server counts as cold until the entry of another process is read, or for the configured time from the first answer. The probe after a broken connection tells the engine as well.

--- a/drill/server.go
+++ b/drill/server.go
@@ -48,7 +48,7 @@
 	case f.ended || v.silent:
 		return
 	case v.down:
-		w.reply(f, gather.Result{Outcome: gather.Unsent, Detail: "connection refused"})
+		w.reply(f, gather.Result{Outcome: gather.Unsent, Refused: true, Detail: "connection refused"})
 		return
 	}
 	w.result.countArrival(w, f)
--- a/drill/world.go
+++ b/drill/world.go
@@ -117,7 +117,7 @@
 	v := &server{
 		Server: gather.Server{
 			ID: fmt.Sprintf("%s-%d", pool, i), Address: a, FailureDomain: domains[domain], Slots: slots,
-			Connections: connectionShare, ColdRate: w.config.Model.ColdRate,
+			Connections: connectionShare, ColdRate: w.config.Model.ColdRate, ColdTime: w.config.Model.ColdFor,
 		},
 		world: w, pool: index, domain: domain, slow: 1, rand: rand.New(rand.NewPCG(seed, uint64(i)<<8)),
 	}
--- a/gather/attempt.go
+++ b/gather/attempt.go
@@ -152,6 +152,10 @@
 	if r.ColdRemaining > 0 {
 		s.ColdUntil = now.Add(r.ColdRemaining)
 	}
+	switch r.Outcome {
+	case OK, Answered, ServerError, NotRun:
+		s.restart.recordAnswer(now, a.sentAt, s.ColdTime)
+	}
 	typical := float64(c.typical())
 	switch r.Outcome {
 	case OK, Answered:
@@ -173,6 +177,9 @@
 		s.replaced = true
 		act.Events = append(act.Events, Event{Name: "server replaced", Pool: s.pool.name, Server: s.ID, Detail: r.Detail})
 	case Unsent:
+		if r.Refused {
+			e.recordRefused(now, a, act)
+		}
 		e.ejectOnFailure(now, s, true, r, act)
 	case Broken:
 		s.recordOutcome(now, true)
--- a/gather/engine.go
+++ b/gather/engine.go
@@ -208,6 +208,8 @@
 	Outcome Outcome
 	// Latency is the time from the first byte written to the end of the attempt, 0 if nothing was written.
 	Latency time.Duration
+	// Refused means that the address of the server refused the connection, with the outcome Unsent.
+	Refused bool
 	// ColdRemaining is the remaining time of the cold start as reported by the server.
 	ColdRemaining time.Duration
 	// Leaving means that the server has announced in its answer that it leaves and must get no new requests.
--- a/gather/server.go
+++ b/gather/server.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/arbutusthread/arbutusthread/route"
@@ -19,9 +20,10 @@
 	// Connections is this node's share of the connections that the server accepts.
 	Connections int
 	// ColdUntil is the end of a cold start. ColdRate is the maximum rate until then, in requests per second from all
-	// nodes together; 0 means unlimited.
+	// nodes together; 0 means unlimited. ColdTime is the duration of a cold start.
 	ColdUntil time.Time
 	ColdRate  float64
+	ColdTime  time.Duration
 	// Draining is set if the server must get no new requests.
 	Draining bool
 	// StartTime is the start time of the server process, which may be restarted under the same ID.
@@ -64,6 +66,7 @@
 	Server
 	health
 	pool        *pool
+	restart     restart
 	recentSends slidingCounter
 	// concurrencyLimit is the maximum number of outstanding requests from this node after the server has rejected
 	// one; 0 means unlimited.
@@ -135,13 +138,13 @@
 		v.ColdUntil = s.ColdUntil
 	}
 	if !v.StartTime.Equal(s.StartTime) {
-		s.replaced, s.pushbackUntil = false, time.Time{}
+		s.replaced, s.pushbackUntil, s.restart = false, time.Time{}, restart{}
 	}
 	s.Server, s.pool = v, p
 }
 
-// cold reports whether the server is in a cold start.
-func (s *server) cold(now time.Time) bool { return now.Before(s.ColdUntil) }
+// cold reports whether the server is in a cold start, or will be when it is started again.
+func (s *server) cold(now time.Time) bool { return now.Before(s.ColdUntil) || s.restart.cold(now) }
 
 // coldWindow is the window over which the rate limit of a cold server, in requests per second, is enforced.
 const coldWindow = time.Second
@@ -163,6 +166,13 @@
 	m.times = append(m.times, now)
 }
 
+// remove removes a request that was sent at the given time, if it is still counted.
+func (m *slidingCounter) remove(at time.Time) {
+	if i := slices.IndexFunc(m.times, at.Equal); i >= 0 {
+		m.times = slices.Delete(m.times, i, i+1)
+	}
+}
+
 // latencyClass holds the measured latencies of the requests of one class.
 type latencyClass struct {
 	// latencies covers a long window and recent a short one. The lower of their quantiles is used: the long window is
--- a/gather/status.go
+++ b/gather/status.go
@@ -16,6 +16,8 @@
 	Draining      bool           `json:"Draining,omitempty"`
 	Cold          bool           `json:"Cold,omitempty"`
 	Ejected       bool           `json:"Ejected,omitempty"`
+	// EndedAt is the time at which the address last refused a connection of this node, zero if a server has answered since.
+	EndedAt time.Time `json:"EndedAt,omitzero"`
 	// LeavingSince is the time at which an answer to this node announced that the server leaves, zero if none has.
 	LeavingSince time.Time `json:"LeavingSince,omitzero"`
 	// PushbackUntil is the end of the time for which the server has asked this node for no requests when it rejected one,
@@ -35,7 +37,8 @@
 	for _, s := range e.servers {
 		status := ServerStatus{
 			ID: s.ID, Service: s.pool.name, Address: s.Address, FailureDomain: s.FailureDomain, Draining: s.Draining,
-			LeavingSince: s.leavingSince, Cold: s.cold(now), Ejected: s.ejected(now), Slowness: s.slownessNow(now), Open: len(s.open), Answered: s.answeredAt,
+			EndedAt: s.restart.endedAt, LeavingSince: s.leavingSince, Cold: s.cold(now), Ejected: s.ejected(now),
+			Slowness: s.slownessNow(now), Open: len(s.open), Answered: s.answeredAt,
 		}
 		if s.hasPushback(now) {
 			status.PushbackUntil = s.pushbackUntil
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -56,7 +56,7 @@
 	n.countAttempt(s.Purpose, outcome)
 	n.recordAttempt(now, c, s.Server.Address, outcome, r)
 	act := n.engine.Done(now, s.Attempt, gather.Result{
-		Outcome: outcome, Latency: r.Latency, ColdRemaining: r.ColdRemaining, Leaving: r.Leaving,
+		Outcome: outcome, Refused: outcome == gather.Unsent && r.Refused, Latency: r.Latency, ColdRemaining: r.ColdRemaining, Leaving: r.Leaving,
 		RetryAfter: r.RetryAfter, Detail: r.Message,
 	})
 	if n.calls[c.id] != c {
--- a/node/install.go
+++ b/node/install.go
@@ -129,7 +129,7 @@
 		}
 		if service != nil {
 			x.Connections = connectionsPerNode(service.Connections, n.sharerCount.nodes)
-			x.ColdRate = n.coldRate(service)
+			x.ColdRate, x.ColdTime = n.coldRate(service), service.ColdTime.Std()
 		}
 		p := &pools[byName[s.Service]]
 		p.Servers = append(p.Servers, x)
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -75,8 +75,13 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.probing, server)
-	if r.Refused {
-		n.serverDown(time.Now(), server)
+	if !r.Refused {
+		return
+	}
+	now = time.Now()
+	n.serverDown(now, server)
+	if !r.Reset {
+		n.logDecisions(nil, n.engine.ServerEnded(now, server))
 	}
 }
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -273,11 +273,12 @@
 	n.perform(now, c, n.engine.Tick(now, c.id))
 }
 
-// logDecisions logs and counts the decisions of the engine. The caller holds n.mu.
+// logDecisions logs and counts the decisions of the engine. They may concern the call, which is nil if there is none, or
+// others. The caller holds n.mu.
 func (n *Node) logDecisions(c *call, act gather.Actions) {
 	for _, e := range act.Events {
 		request := ""
-		if e.Job == c.id {
+		if c != nil && e.Job == c.id {
 			request = c.forward.RequestID
 		} else if other := n.calls[e.Job]; other != nil {
 			request = other.forward.RequestID
