Count the sends to a cold server over the time that connections take as well

Cause: the first requests to a server that has just started wait for their connections. Those of the next window do not, and follow in less than a second: the trace has arrivals from 12.736 s, and the next ones at 13.734 s.

Change: sends are counted over 100 ms more than the window.

TestColdRateHoldsForArrivals failed before.

--- a/gather/choose.go
+++ b/gather/choose.go
@@ -64,7 +64,7 @@
 
 // usable reports whether this node may send another request to the server.
 func (e *Engine) usable(now time.Time, s *server) bool {
-	return s.isListed() && s.hasCapacity(now, e.share(now, coldWindow))
+	return s.isListed() && s.hasCapacity(now, e.share(now, coldWindow+arrivalSpread))
 }
 
 // hasCapacity reports whether the limits on connections and outstanding requests, the overload backoff, a pushback and, during a
--- a/gather/restart_test.go
+++ b/gather/restart_test.go
@@ -63,7 +63,7 @@
 		f.done(x, OK)
 	}
 	is.Equal(len(f.burst()), 0) // the answers are those of a new process
-	f.advance(coldWindow)
+	f.advance(coldWindow + arrivalSpread)
 	is.Equal(len(f.burst()), restartShare)
 
 	s.StartTime, s.ColdUntil = f.now, f.now.Add(restartColdTime)
@@ -75,6 +75,37 @@
 	is.Equal(len(f.burst()), 50)
 }
 
+// Guards against a cold server that gets the requests of two windows in one second, because the first ones had to wait for
+// connections to a process that has just started.
+func TestColdRateHoldsForArrivals(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const connectTime = 60 * time.Millisecond
+	f, s := restartFixture()
+	s.StartTime, s.ColdUntil = f.now, f.now.Add(restartColdTime)
+	f.singleServer(s)
+	var arrivals []time.Time
+	for end := f.now.Add(restartColdTime); f.now.Before(end); f.advance(time.Millisecond) {
+		for range f.burst() {
+			at := f.now
+			if len(arrivals) < restartShare {
+				at = at.Add(connectTime)
+			}
+			arrivals = append(arrivals, at)
+		}
+	}
+	for i, from := range arrivals {
+		n := 0
+		for _, at := range arrivals[i:] {
+			if at.Before(from.Add(time.Second)) {
+				n++
+			}
+		}
+		is.True(n <= restartShare)
+	}
+	is.True(len(arrivals) >= 2*restartShare)
+}
+
 // Guards against a server that is limited for good after a refused connection although its process has not changed, or
 // its entry is never read.
 func TestServerIsWarmAgainAfterARefusedConnection(t *testing.T) {
--- a/gather/server.go
+++ b/gather/server.go
@@ -146,16 +146,21 @@
 // cold reports whether the server is in a cold start, or will be when it is started again.
 func (s *server) cold(now time.Time) bool { return now.Before(s.ColdUntil) || s.restart.cold(now) }
 
-// coldWindow is the window over which the rate limit of a cold server, in requests per second, is enforced.
-const coldWindow = time.Second
+const (
+	// coldWindow is the window over which the rate limit of a cold server, in requests per second, is enforced.
+	coldWindow = time.Second
+	// arrivalSpread is added to coldWindow when sends are counted. The first requests to a server that has just started
+	// wait for connections, so that those of the next window follow them in less than a second.
+	arrivalSpread = 100 * time.Millisecond
+)
 
-// slidingCounter counts the requests sent to a server in the last coldWindow.
+// slidingCounter counts the requests sent to a server in the last coldWindow and arrivalSpread.
 type slidingCounter struct {
 	times []time.Time
 }
 
 func (m *slidingCounter) count(now time.Time) int {
-	for len(m.times) > 0 && now.Sub(m.times[0]) >= coldWindow {
+	for len(m.times) > 0 && now.Sub(m.times[0]) >= coldWindow+arrivalSpread {
 		m.times = m.times[1:]
 	}
 	return len(m.times)
