Count each crash of a server that comes back against the request

Cause: crashes were told apart by the server's address, and one that crashed again counted once until the request was refused. A request that the node does not repeat reaches one server, the nearest.

Change: a crash is noted with the time at which the connection of the request was opened. If that is later than an earlier crash, another process has crashed, and it counts. Two crashes refuse the request for 5 s; where all are of one server, the third refuses it for 10 minutes. The same time shows late reports of a known crash, which refused harmless requests for 10 minutes.

--- a/back/conn.go
+++ b/back/conn.go
@@ -39,6 +39,8 @@
 	reader *bufio.Reader
 	// readBudget is the number of bytes that may still be read for the current answer.
 	readBudget int
+	// openedAt is the time at which the connection was opened.
+	openedAt time.Time
 	// bytesWritten counts the bytes that the kernel accepted.
 	bytesWritten int64
 	// lastUsed is the time when the connection was last put into the pool, and answers is the number of
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "back: dial %s", address)
 	}
-	n := &conn{raw: v.(*net.TCPConn)}
+	n := &conn{raw: v.(*net.TCPConn), openedAt: time.Now()}
 	n.abort = func() { _ = n.raw.SetDeadline(time.Unix(1, 0)) }
 	n.stream = countingConn{n.raw, n}
 	if c.TLS != nil {
--- a/back/forward.go
+++ b/back/forward.go
@@ -100,7 +100,7 @@
 			r.fail(Unsent, "back: the server leaves or wants no requests since the attempt began")
 			return nil, r
 		}
-		r.NewConnection = c.fresh()
+		r.NewConnection, r.Opened = c.fresh(), c.openedAt
 		reply, again := k.forwardRoundTrip(ctx, p, c, f, deadline, &r)
 		if !again {
 			return reply, r
--- a/back/result.go
+++ b/back/result.go
@@ -69,6 +69,8 @@
 	RetryAfter time.Duration
 	// NewConnection means that the connection had neither been idle nor returned an answer before this attempt.
 	NewConnection bool
+	// Opened is the time at which the connection was opened that Forward used, zero if none was.
+	Opened time.Time
 	// Refused means that the server refused, reset or closed a connection.
 	Refused bool
 	// Reset means that the server reset a connection before a byte was written, as servers do above
--- a/guard/growth_test.go
+++ b/guard/growth_test.go
@@ -17,7 +17,7 @@
 	for i := range 20_000 {
 		now = now.Add(100 * time.Millisecond)
 		f, server := Fingerprint(i), testServer(byte(i))
-		d.ConnectionBroken(now, f, server)
+		d.ConnectionBroken(now, f, server, now)
 		d.ConnectionRefused(now, server)
 		d.Merge(now, CrashNotice{f + 1, Crash{Server: server, At: now}})
 		d.Merge(now, CrashNotice{1 << 40, Crash{Server: server, At: now}}) // crashes servers again and again
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -257,7 +257,7 @@
 		marks := make([]PoisonMark, len(v))
 		for i, n := range v {
 			f := FingerprintOf("clogs", "lookup", string(rune('a'+n%4)))
-			marks[i] = PoisonMark{Fingerprint: f, Crashes: []Crash{{server(n % 7), start.Add(time.Duration(n) * time.Second)}}}
+			marks[i] = PoisonMark{Fingerprint: f, Crashes: []Crash{{Server: server(n % 7), At: start.Add(time.Duration(n) * time.Second)}}}
 			if n%5 == 0 {
 				marks[i] = PoisonMark{Fingerprint: f, Cleared: start.Add(time.Duration(n/2) * time.Second)}
 			}
@@ -275,7 +275,7 @@
 		}
 		for i := range 10 {
 			f := FingerprintOf("other", "lookup", fmt.Sprint(i))
-			a.Merge(now, PoisonMark{Fingerprint: f, Crashes: []Crash{{server(1), now}}})
+			a.Merge(now, PoisonMark{Fingerprint: f, Crashes: []Crash{{Server: server(1), At: now}}})
 		}
 		if len(a.marks) > 4 || a.Merge(now, PoisonMark{Cleared: now.Add(time.Hour)}) {
 			t.Fatal("a mark beyond MaxMarks or maxClockSkew was retained")
--- a/guard/mark.go
+++ b/guard/mark.go
@@ -22,10 +22,13 @@
 	maxClockSkew = 1 * time.Minute
 )
 
-// Crash is one crash of a server that was running a canary.
+// Crash is one crash of a server that was running a request.
 type Crash struct {
 	Server netip.AddrPort `json:"Server"`
 	At     time.Time      `json:"At"`
+	// Opened is the time at which the connection was opened on which the request ran, zero if it is not known. A process
+	// accepts no connection after its end, so that a crash with a later Opened is that of another process.
+	Opened time.Time `json:"Opened,omitzero"`
 }
 
 // PoisonMark is the crash record of a fingerprint. Nodes replicate marks; merging is commutative: the order of
--- a/guard/poison.go
+++ b/guard/poison.go
@@ -11,8 +11,11 @@
 	// crashWindow is the longest time between a broken connection and the first refused connection
 	// for which the crash of the server is attributed to the request that it was running.
 	crashWindow = 3 * time.Second
-	// refusalThreshold is the number of crashed servers at which a request is refused.
+	// refusalThreshold is the number of crashed server processes at which a request is refused.
 	refusalThreshold = 2
+	// singleServerThreshold is the number of crashes at which a request that has crashed only one server is refused for
+	// refusalPeriod. The server may have crashed for another reason, so it takes one more than with several servers.
+	singleServerThreshold = 3
 	// refusalPeriod is the retention of crash records and the duration of the refusal of a request that has
 	// crashed servers in two incidents. After one incident the request is refused only for
 	// initialRefusalPeriod, because many servers may have crashed together for another reason; that is longer
@@ -45,8 +48,7 @@
 // interruptedRun is a connection that broke while a server was running a request.
 type interruptedRun struct {
 	request Fingerprint
-	server  netip.AddrPort
-	at      time.Time
+	crash   Crash
 }
 
 // CrashNotice is the message that reports a crash to other nodes.
@@ -66,11 +68,12 @@
 	return &PoisonDetector{crashes: make(map[Fingerprint][]Crash), cleared: make(map[Fingerprint]time.Time)}
 }
 
-// ConnectionBroken records that a connection broke while the server may have been running the request.
-func (d *PoisonDetector) ConnectionBroken(now time.Time, f Fingerprint, server netip.AddrPort) {
-	d.interrupted = slices.DeleteFunc(d.interrupted, func(r interruptedRun) bool { return now.Sub(r.at) > crashWindow })
+// ConnectionBroken records that a connection, which was opened at the given time, broke while the server may have been
+// running the request.
+func (d *PoisonDetector) ConnectionBroken(now time.Time, f Fingerprint, server netip.AddrPort, opened time.Time) {
+	d.interrupted = slices.DeleteFunc(d.interrupted, func(r interruptedRun) bool { return now.Sub(r.crash.At) > crashWindow })
 	if len(d.interrupted) < maxInterruptedRuns {
-		d.interrupted = append(d.interrupted, interruptedRun{f, server, now})
+		d.interrupted = append(d.interrupted, interruptedRun{f, Crash{Server: server, At: now, Opened: opened}})
 	}
 }
 
@@ -79,11 +82,11 @@
 func (d *PoisonDetector) ConnectionRefused(now time.Time, server netip.AddrPort) []CrashNotice {
 	var notices []CrashNotice
 	d.interrupted = slices.DeleteFunc(d.interrupted, func(r interruptedRun) bool {
-		if r.server != server {
+		if r.crash.Server != server {
 			return false
 		}
-		n := CrashNotice{Fingerprint: r.request, Crash: Crash{Server: server, At: r.at}}
-		if now.Sub(r.at) <= crashWindow && d.Merge(now, n) {
+		n := CrashNotice{Fingerprint: r.request, Crash: r.crash}
+		if now.Sub(r.crash.At) <= crashWindow && d.Merge(now, n) {
 			notices = append(notices, n)
 		}
 		return true
@@ -107,7 +110,7 @@
 }
 
 func compareCrashes(a, b Crash) int {
-	return cmp.Or(a.At.Compare(b.At), a.Server.Compare(b.Server))
+	return cmp.Or(a.At.Compare(b.At), a.Server.Compare(b.Server), a.Opened.Compare(b.Opened))
 }
 
 // Succeeded deletes the crash records of a request. It returns a notice for the other nodes and true if there were any.
@@ -159,21 +162,21 @@
 	if len(list) < refusalThreshold {
 		return 0
 	}
-	first, last := list[0].At, list[len(list)-1].At
-	end := last.Add(initialRefusalPeriod)
-	if last.Sub(first) > incidentWindow {
-		end = last.Add(refusalPeriod)
+	first, last := list[0], list[len(list)-1]
+	end := last.At.Add(initialRefusalPeriod)
+	several := slices.ContainsFunc(list, func(c Crash) bool { return c.Server != first.Server })
+	if last.At.Sub(first.At) > incidentWindow && (several || len(list) >= singleServerThreshold) {
+		end = last.At.Add(refusalPeriod)
 	}
 	return max(0, end.Sub(now))
 }
 
-// countedCrashes returns the crashes that count against a request. A server that crashes again counts once until the
-// request has been refused, as it may crash for another reason, and from then on once for each incident.
+// countedCrashes returns the crashes that count against a request: one of each server process in each incident.
 func countedCrashes(list []Crash) []Crash {
 	var counted []Crash
 	for _, c := range list {
 		if !slices.ContainsFunc(counted, func(k Crash) bool {
-			return k.Server == c.Server && (len(counted) < refusalThreshold || c.At.Sub(k.At) <= incidentWindow)
+			return k.Server == c.Server && !isLaterCrash(k, c, len(counted) >= refusalThreshold)
 		}) {
 			counted = append(counted, c)
 		}
@@ -181,6 +184,19 @@
 	return counted
 }
 
+// isLaterCrash reports whether c is a crash of the server after k, in another incident and of another process. A node that
+// was suspended may report the same crash late. If it is not known when the connection was opened, the processes are taken
+// for different ones only if the request has been refused since.
+func isLaterCrash(k, c Crash, refused bool) bool {
+	if c.At.Sub(k.At) <= incidentWindow {
+		return false
+	}
+	if c.Opened.IsZero() {
+		return refused
+	}
+	return c.Opened.After(k.At)
+}
+
 // Expire deletes records older than refusalPeriod. It may be called at any interval.
 func (d *PoisonDetector) Expire(now time.Time) {
 	for f := range d.crashes {
--- a/guard/poison_test.go
+++ b/guard/poison_test.go
@@ -21,7 +21,7 @@
 	b, peer := NewPoisonDetector(), NewPoisonDetector()
 	for i := range byte(refusalThreshold) {
 		is.Equal(b.RefusedFor(now, 7), time.Duration(0))
-		b.ConnectionBroken(now, 7, testServer(i))
+		b.ConnectionBroken(now, 7, testServer(i), now.Add(-time.Minute))
 		for _, n := range b.ConnectionRefused(now.Add(time.Second), testServer(i)) {
 			is.True(peer.Merge(now, n))
 			is.True(!peer.Merge(now, n))
@@ -30,31 +30,71 @@
 	is.Equal(b.RefusedFor(now, 7), initialRefusalPeriod)
 	is.Equal(peer.RefusedFor(now, 7), initialRefusalPeriod) // on every node that has merged the crashes
 	now = now.Add(initialRefusalPeriod)
-	is.Equal(b.RefusedFor(now, 7), time.Duration(0)) // servers may have crashed together for another reason
-	b.ConnectionBroken(now, 7, testServer(0))        // a server that has restarted
+	is.Equal(b.RefusedFor(now, 7), time.Duration(0))                 // servers may have crashed together for another reason
+	b.ConnectionBroken(now, 7, testServer(0), now.Add(-time.Second)) // a server that has restarted
 	b.ConnectionRefused(now, testServer(0))
 	is.Equal(b.RefusedFor(now, 7), refusalPeriod)
 	is.Equal(b.RefusedFor(now.Add(refusalPeriod+time.Second), 7), time.Duration(0))
 }
 
+// Guards against a request that crashes the same server again and again, which is the only one that gets it, and is never
+// refused.
+func TestRequestThatCrashesOneServerIsRefused(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	b, peer := NewPoisonDetector(), NewPoisonDetector()
+	refused := []time.Duration{0, initialRefusalPeriod, refusalPeriod}
+	for i := range singleServerThreshold {
+		is.Equal(b.RefusedFor(now, 7), time.Duration(0))
+		b.ConnectionBroken(now, 7, testServer(1), now.Add(-time.Second)) // after the end of the process before it
+		for _, n := range b.ConnectionRefused(now.Add(time.Second), testServer(1)) {
+			is.True(peer.Merge(now, n))
+		}
+		is.Equal(b.RefusedFor(now, 7), refused[i])
+		is.Equal(peer.RefusedFor(now, 7), refused[i])
+		now = now.Add(initialRefusalPeriod)
+	}
+}
+
+// Guards against a harmless request that is refused because several nodes report the same crash, some of them late, such as a
+// node that was suspended: their connections were open before the first of them broke.
+func TestLateReportsOfOneCrashCountOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	b := NewPoisonDetector()
+	for i := range 10 {
+		at := now.Add(time.Duration(i) * 2 * incidentWindow)
+		b.Merge(at, CrashNotice{7, Crash{Server: testServer(1), At: at, Opened: now.Add(-time.Millisecond)}})
+		is.Equal(b.RefusedFor(at, 7), time.Duration(0))
+	}
+	// A second server has crashed, and its crash is reported late too.
+	for i := range 10 {
+		at := now.Add(time.Duration(i) * 2 * incidentWindow)
+		b.Merge(at, CrashNotice{7, Crash{Server: testServer(2), At: at, Opened: now.Add(-time.Millisecond)}})
+	}
+	is.Equal(b.RefusedFor(now, 7), initialRefusalPeriod)
+}
+
 // Guards against the refusal of a harmless request that was in flight on servers that crashed, or on servers
 // whose answers were lost.
 func TestHarmlessRequestsAreNotRefused(t *testing.T) {
 	t.Parallel()
 	now := time.Unix(1_800_000_000, 0)
 	for name, events := range map[string]func(*PoisonDetector, byte){
-		"the server stays up": func(b *PoisonDetector, i byte) { b.ConnectionBroken(now, 7, testServer(i)) },
+		"the server stays up": func(b *PoisonDetector, i byte) { b.ConnectionBroken(now, 7, testServer(i), now) },
 		"the server goes down later": func(b *PoisonDetector, i byte) {
-			b.ConnectionBroken(now, 7, testServer(i))
+			b.ConnectionBroken(now, 7, testServer(i), now)
 			b.ConnectionRefused(now.Add(crashWindow+1), testServer(i))
 		},
 		"it succeeds on another server": func(b *PoisonDetector, i byte) {
-			b.ConnectionBroken(now, 7, testServer(i))
+			b.ConnectionBroken(now, 7, testServer(i), now)
 			b.ConnectionRefused(now, testServer(i))
 			b.Succeeded(now, 7)
 		},
 		"the same server crashes again": func(b *PoisonDetector, _ byte) {
-			b.ConnectionBroken(now, 7, testServer(1))
+			b.ConnectionBroken(now, 7, testServer(1), now)
 			b.ConnectionRefused(now, testServer(1))
 		},
 	} {
@@ -87,7 +127,9 @@
 				continue
 			}
 			server := testServer(rapid.Byte().Draw(t, "server") % 3)
-			notices = append(notices, notice{crash: CrashNotice{7, Crash{Server: server, At: at}}})
+			notices = append(notices, notice{crash: CrashNotice{7, Crash{
+				Server: server, At: at, Opened: at.Add(-time.Duration(rapid.IntRange(0, 6).Draw(t, "open for")) * time.Second),
+			}}})
 		}
 		now = now.Add(10 * time.Second)
 		refused := func(notices []notice) time.Duration {
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -39,7 +39,7 @@
 			go n.publishNote(now, noteKindClear, clear.Fingerprint.String(), clear)
 		}
 	case outcome == gather.Broken && r.Refused:
-		n.quarantine.ConnectionBroken(now, c.fingerprint, server)
+		n.quarantine.ConnectionBroken(now, c.fingerprint, server, r.Opened)
 		if !n.probing[server] {
 			n.probing[server] = true
 			go n.probe(server)
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -147,6 +147,54 @@
 	is.Equal(call(members[0], "/other").End, gather.Complete)
 }
 
+// Guards against a poison request that reaches the only server of its service again each time that the server is back.
+func TestPoisonRequestOfOneServerIsQuarantined(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	published, members := newFleet(t, 91, "lukang", "yilan")
+	c := config("s")
+	c.Routes = []table.Route{{Name: "r", Host: "h", Prefix: "/", MaxAttempts: 2, Targets: []table.Target{{Service: "s", Weight: 1}}}}
+	published.SetConfig(c)
+	address := netip.MustParseAddrPort("127.0.0.1:0")
+	start := func(id string) *fake.RoutedServer {
+		s, err := fake.NewRoutedServer(address, fake.RoutedConfig{ID: id, Faults: fake.RoutedFaults{CrashURI: "/poison"}})
+		is.NoErr(err)
+		t.Cleanup(s.Close)
+		address = s.Address()
+		published.PutServer(feed.Server{ID: id, Service: "s", Address: address, FailureDomain: "lukang", Slots: 2})
+		for _, m := range members {
+			waitFor(t, "the server", eventTimeout, func() bool {
+				list := m.Status().Servers
+				return hasService(m, "s") && len(list) == 1 && list[0].ID == id
+			})
+		}
+		return s
+	}
+	call := func(m *member, uri string) Outcome {
+		out, err := m.Serve(t.Context(), &Request{
+			Route: &m.Table().Config().Routes[0], Deadline: time.Now().Add(time.Second),
+			Forward: back.Forward{Method: http.MethodPost, URI: uri, Host: "h", RequestID: "r", NonIdempotent: true},
+		})
+		is.NoErr(err)
+		return out
+	}
+	for i := range 2 {
+		id := fmt.Sprint("i-", i)
+		s := start(id)
+		is.Equal(call(members[i], "/other").End, gather.Complete)
+		is.Equal(call(members[i], "/poison").End, gather.Failed)
+		is.True(s.Crashed())
+		time.Sleep(2500 * time.Millisecond) // the server is back after some seconds
+		published.RemoveServer(id)
+	}
+	s := start("i-2")
+	for _, m := range members {
+		waitFor(t, "the refusal of the request", eventTimeout, func() bool { return call(m, "/poison").End == gather.Refused })
+		is.Equal(call(m, "/other").End, gather.Complete)
+	}
+	is.True(!s.Crashed())
+}
+
 // Guards against a restarted node that passes a poison request on again: it must learn of both incidents in which the
 // request has crashed servers, although the same servers crashed in both.
 func TestStartedNodeKnowsAllCrashesOfARequest(t *testing.T) {
@@ -160,7 +208,7 @@
 	for _, ago := range []time.Duration{8 * time.Second, time.Second} {
 		for _, host := range []string{"127.0.0.1:1", "127.0.0.1:2"} {
 			first.mu.Lock()
-			first.quarantine.ConnectionBroken(now.Add(-ago), fingerprint, netip.MustParseAddrPort(host))
+			first.quarantine.ConnectionBroken(now.Add(-ago), fingerprint, netip.MustParseAddrPort(host), now.Add(-ago))
 			first.serverDown(now.Add(-ago), netip.MustParseAddrPort(host))
 			first.mu.Unlock()
 		}
