Close a connection on which a server sends a status that is none

Cause: the reader of answers took every number below 200, except 101, for an interim status, and had no upper bound.

Change: numbers outside 100 to 599, and 101, are no answer. The outcome is unknown, so that a safe request is sent to another server at once and an unsafe one gets 502.

--- a/back/reply.go
+++ b/back/reply.go
@@ -34,15 +34,21 @@
 	return &Reply{Status: v.StatusCode, Header: v.Header, Body: body}, reusable, nil
 }
 
-// readFinalResponse reads the status line and headers of the final response. It skips interim responses
-// with a status below 200, except 101.
+// errStatus means that the status line has a number that is not the status of an answer to a forwarded request.
+var errStatus = errors.New("back: answer has an invalid status")
+
+// readFinalResponse reads the status line and headers of the final response. It skips interim responses, which have a
+// status below 200. No request asks for another protocol, so that 101 is none of them. Numbers outside 100 to 599 are not
+// statuses: what follows such a line may be its body, and must not be taken for another response.
 func readFinalResponse(c *conn, method string) (*http.Response, error) {
 	for {
 		v, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, err
-		}
-		if v.StatusCode >= http.StatusOK || v.StatusCode == http.StatusSwitchingProtocols {
+		case v.StatusCode < 100 || v.StatusCode > 599 || v.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.Wrapf(errStatus, "%q", v.Status)
+		case v.StatusCode >= http.StatusOK:
 			return v, nil
 		}
 	}
--- a/front/serve_test.go
+++ b/front/serve_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/arbutusthread/arbutusthread/fake"
+	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/gather"
 	"github.com/arbutusthread/arbutusthread/table"
 	"github.com/arbutusthread/arbutusthread/wire"
@@ -95,6 +96,41 @@
 	}
 }
 
+// Guards against a status that is none, such as 000, which reaches the caller as an answer, ends a request that may be sent
+// again, or holds it until its deadline.
+func TestInvalidStatusIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, "lukang")
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	faulty := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "HTTP/1.1 000 \r\nRequest-Id: %s\r\nAnswer-Seal: s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+		time.Sleep(2 * time.Second)
+	})}
+	go func() { _ = faulty.Serve(l) }()
+	defer faulty.Close()
+	f.published.PutServer(feed.Server{
+		ID: "faulty", Service: "ledger", Address: l.Addr().(*net.TCPAddr).AddrPort(), FailureDomain: "lukang", Slots: 2,
+	})
+	f.publishRoutes()
+	begin := time.Now()
+	is.Equal(f.send(f.nodes[0], http.MethodPost, "/order/x", "").status, http.StatusBadGateway)
+	is.True(time.Since(begin) < 500*time.Millisecond)
+	f.startServer("ledger", "yilan", fake.RoutedConfig{})
+	f.waitFor("the other server is used", func() bool {
+		return f.send(f.nodes[0], http.MethodGet, "/lookup/x", "").status == http.StatusOK
+	})
+	begin = time.Now()
+	is.Equal(f.send(f.nodes[0], http.MethodGet, "/lookup/x", "").status, http.StatusOK)
+	is.True(time.Since(begin) < 500*time.Millisecond)
+}
+
 // Guards against statuses with wrong guarantees: 503 means that nothing has run, 502 and 504 leave this open,
 // and 404 is returned only if a configuration is present.
 func TestStatuses(t *testing.T) {
