Follow a platform that comes back from a copy in a new era

Cause: revisions were plain numbers that never went back, in the replica, its log, the reader, heartbeats and pulls between nodes.

Change: a position is the era with the number in it, and compares by era first. The store's era is read from each answer; pages of two eras are not joined, and answers of an earlier era are not used. The first full delta of an era is compared with what the replica had: the configuration never regresses, lost servers and evacuations are held, and servers that were known to be over are not used again for 10 s.

--- a/fake/memory.go
+++ b/fake/memory.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,13 +20,13 @@
 // the history of changes. It is safe for concurrent use.
 type MemoryPlatform struct {
 	mu       sync.Mutex
-	revision uint64
+	revision feed.Revision
 	config   *feed.Change
 	servers  map[string]feed.Change
 	out      map[string]feed.Change
 	history  []feed.Change
 	// oldest is the revision before the oldest retained change.
-	oldest  uint64
+	oldest  feed.Revision
 	changed chan struct{}
 	down    bool
 	reads   int
@@ -48,11 +50,13 @@
 	return c
 }
 
-// SetConfig publishes a configuration. Its version is set to its revision.
+// SetConfig publishes a configuration. Its version is set to its revision, unless it has one.
 func (p *MemoryPlatform) SetConfig(c table.Config) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.Version = p.revision + 1
+	if c.Version == 0 {
+		c.Version = p.revision.Number() + 1
+	}
 	x := p.publish(feed.Change{Config: &c})
 	p.config = &x
 }
@@ -100,6 +104,60 @@
 	p.history, p.oldest = nil, p.revision
 }
 
+// MemoryCopy is a copy of the data of a MemoryPlatform.
+type MemoryCopy struct {
+	revision     feed.Revision
+	config       *feed.Change
+	servers, out map[string]feed.Change
+	history      []feed.Change
+	oldest       feed.Revision
+}
+
+// Copy returns a copy of the data, from which Restore brings the platform back.
+func (p *MemoryPlatform) Copy() MemoryCopy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return MemoryCopy{
+		revision: p.revision, config: p.config, servers: maps.Clone(p.servers), out: maps.Clone(p.out),
+		history: slices.Clone(p.history), oldest: p.oldest,
+	}
+}
+
+// Restore brings the platform back from a copy, in a new era. What was published since the copy is lost, and its revisions are
+// given out again. It returns an error if there can be no further era.
+func (p *MemoryPlatform) Restore(c MemoryCopy) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	era := p.revision.Era() + 1
+	if _, err := feed.NewRevision(era, c.revision.Number()); err != nil {
+		return errors.Wrap(err, "fake: restore")
+	}
+	inEra := func(r feed.Revision) feed.Revision {
+		r, _ = feed.NewRevision(era, r.Number())
+		return r
+	}
+	p.revision, p.oldest, p.config = inEra(c.revision), inEra(c.oldest), nil
+	if c.config != nil {
+		x := *c.config
+		x.Revision = inEra(x.Revision)
+		p.config = &x
+	}
+	p.servers, p.out = maps.Clone(c.servers), maps.Clone(c.out)
+	for _, m := range []map[string]feed.Change{p.servers, p.out} {
+		for key, x := range m {
+			x.Revision = inEra(x.Revision)
+			m[key] = x
+		}
+	}
+	p.history = slices.Clone(c.history)
+	for i := range p.history {
+		p.history[i].Revision = inEra(p.history[i].Revision)
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return nil
+}
+
 // Reads returns the number of calls of Load and Watch.
 func (p *MemoryPlatform) Reads() int {
 	p.mu.Lock()
@@ -131,8 +189,9 @@
 
 // Watch waits for changes after a revision and returns them, or an empty delta when none occur within
 // the wait time. It returns feed.ErrCompacted if the changes after the revision are no longer retained,
+// feed.ErrRestored if the revision is of an earlier era,
 // ErrPlatformDown while the platform is down, and the error of ctx when ctx is done.
-func (p *MemoryPlatform) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
+func (p *MemoryPlatform) Watch(ctx context.Context, after feed.Revision, wait time.Duration) (feed.Delta, error) {
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	p.mu.Lock()
@@ -153,14 +212,16 @@
 	}
 }
 
-func (p *MemoryPlatform) since(after uint64) (feed.Delta, chan struct{}, error) {
+func (p *MemoryPlatform) since(after feed.Revision) (feed.Delta, chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := feed.Delta{From: after, To: max(after, p.revision)}
 	switch {
 	case p.down:
 		return d, nil, ErrPlatformDown
-	case after < p.oldest:
+	case after.Era() < p.revision.Era():
+		return d, nil, feed.ErrRestored
+	case after < p.oldest, after > p.revision:
 		return d, nil, feed.ErrCompacted
 	}
 	for _, c := range p.history {
--- a/feed/change.go
+++ b/feed/change.go
@@ -35,7 +35,7 @@
 // is set.
 type Change struct {
 	// Revision is the platform's revision of the change; revisions order the changes.
-	Revision uint64 `json:"Revision"`
+	Revision Revision `json:"Revision"`
 	// Config is a new configuration, and Patch the delta from a configuration that the receiver has.
 	Config *table.Config `json:"Config,omitempty"`
 	Patch  *table.Delta  `json:"Patch,omitempty"`
@@ -45,6 +45,8 @@
 	// Lapsed marks a removal seen shortly after a platform outage: the entry may have expired although the
 	// server is alive.
 	Lapsed bool `json:"Lapsed,omitempty"`
+	// Doubtful marks a server of a copy from which the platform has come back that the sender knew to be over.
+	Doubtful bool `json:"Doubtful,omitempty"`
 	// Out is the name of a failure domain that operators have taken out, In that of one that they have put back in.
 	Out string `json:"Out,omitempty"`
 	In  string `json:"In,omitempty"`
@@ -71,12 +73,12 @@
 	}
 }
 
-// Delta holds the changes after revision From up to and including revision To. A full delta is a snapshot of all data
-// published at To.
+// Delta holds the changes after revision From up to and including revision To, which are of one era. A full delta is a
+// snapshot of all data published at To.
 type Delta struct {
-	From uint64 `json:"From"`
-	To   uint64 `json:"To"`
-	Full bool   `json:"Full,omitempty"`
+	From Revision `json:"From"`
+	To   Revision `json:"To"`
+	Full bool     `json:"Full,omitempty"`
 	// Lapsed sets Change.Lapsed for the removals that a full delta implies.
 	Lapsed  bool     `json:"Lapsed,omitempty"`
 	Changes []Change `json:"Changes,omitempty"`
@@ -84,7 +86,7 @@
 
 // Position identifies the state of a replica of the platform's data.
 type Position struct {
-	Revision uint64
+	Revision Revision
 	// Version is the version of the configuration, 0 when there is none.
 	Version uint64
 }
--- a/feed/check_test.go
+++ b/feed/check_test.go
@@ -53,7 +53,7 @@
 			}})
 			apply(t, s, 0, Delta{From: 3, To: 4, Changes: []Change{{Revision: 4, Server: odd}}})
 			is.Equal(ids(s.View(epoch)), []string{"a", "b"})
-			for _, after := range []uint64{0, 3} {
+			for _, after := range []Revision{0, 3} {
 				b, err := json.Marshal(s.Since(Position{Revision: after}))
 				is.NoErr(err)
 				var d Delta
--- a/feed/fuzz_test.go
+++ b/feed/fuzz_test.go
@@ -32,7 +32,7 @@
 		}
 		s.View(epoch)
 		// What was accepted can be passed on.
-		for _, after := range []uint64{0, 4} {
+		for _, after := range []Revision{0, 4} {
 			sent, err := json.Marshal(s.Since(Position{Revision: after}))
 			if err != nil {
 				t.Fatal(err)
--- a/feed/growth_test.go
+++ b/feed/growth_test.go
@@ -30,7 +30,7 @@
 	before := heapBytes()
 	s := NewState()
 	apply(t, s, 0, Delta{Full: true, To: 1})
-	at, revision := time.Duration(0), uint64(1)
+	at, revision := time.Duration(0), Revision(1)
 	step := func(i int) {
 		at += 100 * time.Millisecond
 		d := Delta{From: revision}
@@ -39,7 +39,7 @@
 			c.Revision = revision
 			d.Changes = append(d.Changes, c)
 		}
-		config := &table.Config{Version: revision}
+		config := &table.Config{Version: uint64(revision)}
 		for k := range 200 {
 			config.Services = append(config.Services, table.Service{Name: fmt.Sprint("s-", i, "-", k)})
 		}
--- a/feed/reader.go
+++ b/feed/reader.go
@@ -65,11 +65,12 @@
 	// staleAge is the age of the data from which a node that is not a reader reads the platform.
 	staleAge time.Duration
 	// lastRevision is the revision of the last successful read, 0 before the first load. The next watch starts after it.
-	lastRevision uint64
-	// reload is set when the changes after lastRevision can't be read: the platform has dropped them, or its answer was
-	// incomplete.
+	lastRevision Revision
+	// reload is set when the changes after lastRevision can't be read: the platform has dropped them or come back from a
+	// copy, or its answer was incomplete.
 	reload bool
-	// fresh is set after an incomplete answer. A stale load would need the changes after it, which may be incomplete too.
+	// fresh is set after an incomplete answer, as a stale load would need the changes after it, which may be incomplete too,
+	// and at a new era, as a stale answer may be of the one before.
 	fresh    bool
 	failures int
 	// recoveredAt is the end of the last outage.
@@ -132,7 +133,7 @@
 // Plan is the next step of a reader with its parameters.
 type Plan struct {
 	Step  Step
-	After uint64
+	After Revision
 	Wait  time.Duration
 	// Fresh means that a load must return the newest state, without a watch for the changes after it.
 	Fresh bool
@@ -143,7 +144,7 @@
 	// Rank is 0 for a reader of the platform, and for other nodes the order in which they take over.
 	Rank int
 	// Revision is the revision of the node's replica, 0 when it has none.
-	Revision uint64
+	Revision Revision
 	// Age is the time since the replica was last confirmed as current; Known is false if it never was.
 	Age   time.Duration
 	Known bool
@@ -209,20 +210,22 @@
 }
 
 // RecordFailure records a failed read and schedules the next one with exponential backoff. The jitter, from 0 to 1,
-// sets the pause between 0.5 and 1 times the backoff. After ErrCompacted, and after the first ErrIncomplete, the next read
-// is a full load without a pause: the platform answers, so that the node is not cut off from it.
+// sets the pause between 0.5 and 1 times the backoff. After ErrCompacted, and after the first ErrIncomplete or ErrRestored,
+// the next read is a full load without a pause: the platform answers, so that the node is not cut off from it.
 func (r *Reader) RecordFailure(now time.Time, err error, jitter float64) {
 	if errors.Is(err, ErrCompacted) {
 		r.reload = true
 		return
 	}
-	if errors.Is(err, ErrIncomplete) {
+	if errors.IsAny(err, ErrIncomplete, ErrRestored) {
 		first := !r.fresh
 		r.reload, r.fresh = true, true
 		if first {
 			return
 		}
 	}
+	// The load that follows must not be of an earlier era once more.
+	r.fresh = r.fresh || errors.Is(err, ErrEarlierEra)
 	r.failures++
 	pause := min(maxBackoff, initialBackoff<<min(r.failures-1, 10))
 	r.notBefore = now.Add(time.Duration((0.5 + jitter/2) * float64(pause)))
--- a/feed/reader_test.go
+++ b/feed/reader_test.go
@@ -38,7 +38,7 @@
 	in.Age += time.Millisecond
 	p := r.Plan(now, in)
 	is.Equal(p.Step, Watch)
-	is.Equal(p.After, uint64(5))
+	is.Equal(p.After, Revision(5))
 	in.Rank = 2
 	is.Equal(r.Plan(now, in).Step, Idle)
 	in.Age += takeOverStagger
@@ -120,7 +120,7 @@
 	r.RecordSuccess(epoch, &d)
 	p := r.Plan(epoch, in)
 	is.Equal(p.Step, Watch)
-	is.Equal(p.After, uint64(9))
+	is.Equal(p.After, Revision(9))
 }
 
 // Guards against servers that are dropped because the platform lost their entries during an outage.
--- a/feed/state.go
+++ b/feed/state.go
@@ -27,21 +27,24 @@
 
 // State is a node's replica of the platform's data. It is not safe for concurrent use.
 type State struct {
-	revision uint64
+	revision Revision
 	// confirmed is the last time at which the state was confirmed as current.
 	confirmed time.Time
 	config    *table.Config
 	// configs are the last maxConfigs configurations, the bases of patches for nodes that are behind.
 	configs []*table.Config
 	servers map[string]*entry
-	// out holds the failure domains that operators have taken out.
-	out map[string]bool
+	// out holds the failure domains that operators have taken out. The time is zero or, for one that the platform lists no
+	// longer since it came back from a copy, the time until which it stays out.
+	out map[string]time.Time
+	// doubtful holds, by key, servers of a copy that were known to be over.
+	doubtful map[string]doubtfulServer
 	// revisions holds the revision of the last change of each key.
-	revisions  map[string]uint64
+	revisions  map[string]Revision
 	tombstones []tombstone
 	log        []logEntry
 	// logStart is the revision before the first change of the log.
-	logStart uint64
+	logStart Revision
 }
 
 type entry struct {
@@ -58,19 +61,19 @@
 }
 
 type logEntry struct {
-	to     uint64
+	to     Revision
 	change Change
 }
 
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
-		servers: make(map[string]*entry), out: make(map[string]bool), revisions: make(map[string]uint64),
+		servers: make(map[string]*entry), doubtful: make(map[string]doubtfulServer), out: make(map[string]time.Time), revisions: make(map[string]Revision),
 	}
 }
 
 // Revision returns the platform revision up to which the state is complete, 0 before the first delta.
-func (s *State) Revision() uint64 { return s.revision }
+func (s *State) Revision() Revision { return s.revision }
 
 // Position returns the revision of the state and the version of its configuration.
 func (s *State) Position() Position {
@@ -95,10 +98,10 @@
 func (s *State) Confirmed() time.Time { return s.confirmed }
 
 // Apply applies a delta and reports whether the state changed. It returns ErrGap when changes before the
-// delta are missing, and an error when a patch does not apply. Changes that are not newer than the state have
+// delta are missing, as they are at the begin of an era, and an error when a patch does not apply. Changes that are not newer than the state have
 // no effect, so that deltas may arrive more than once or out of order.
 func (s *State) Apply(now time.Time, d Delta) (bool, error) {
-	if !d.Full && d.From > s.revision {
+	if !d.Full && (d.From > s.revision || d.To.Era() > s.revision.Era()) {
 		return false, ErrGap
 	}
 	if d.To < s.revision && d.Full {
@@ -106,7 +109,10 @@
 	}
 	changes := slices.Clone(d.Changes)
 	removeInvalid(changes)
-	if d.Full {
+	switch {
+	case d.Full && s.revision > 0 && d.To.Era() > s.revision.Era():
+		changes = s.restore(now, d, changes)
+	case d.Full:
 		changes = append(changes, s.impliedRemovals(d)...)
 	}
 	if err := s.resolvePatches(changes); err != nil {
@@ -170,24 +176,50 @@
 			removals = append(removals, c)
 		}
 	}
-	for name := range s.out {
+	for name, until := range s.out {
 		c := Change{Revision: d.To, In: name}
-		if !listed[c.key()] {
+		if !listed[c.key()] && until.IsZero() {
 			removals = append(removals, c)
 		}
 	}
+	for key, x := range s.doubtful {
+		e := s.servers[x.Server.ID]
+		if !listed[key] && (e == nil || !e.heldUntil.IsZero()) {
+			removals = append(removals, Change{Revision: d.To, Removed: x.Server.ID, Lapsed: e != nil})
+		}
+	}
 	slices.SortFunc(removals, func(a, b Change) int { return cmp.Compare(a.key(), b.key()) })
 	return removals
 }
 
 func (s *State) apply(now time.Time, c *Change) bool {
 	key := c.key()
-	if c.Revision <= s.revisions[key] {
+	if c.Revision <= s.revisions[key] && key != keyConfig {
 		return false
 	}
-	switch {
-	case c.Patch != nil:
+	if c.Patch != nil {
 		return false
+	}
+	if c.Doubtful && c.Server != nil {
+		s.doubt(now, c)
+		return true
+	}
+	_, doubted := s.doubtful[key]
+	delete(s.doubtful, key)
+	if !s.set(now, c) {
+		if !doubted {
+			return false
+		}
+		// The removal of an entry that was kept aside concerns nodes that use it.
+		s.tombstones = append(s.tombstones, tombstone{key, now})
+	}
+	s.revisions[key] = c.Revision
+	return true
+}
+
+// set sets the entry that a change concerns, and reports whether it has changed.
+func (s *State) set(now time.Time, c *Change) bool {
+	switch {
 	case c.Config != nil:
 		if s.config != nil && c.Config.Version <= s.config.Version || c.Config.Check() != nil {
 			return false
@@ -204,11 +236,10 @@
 			return false
 		}
 	case c.Out != "":
-		s.out[c.Out] = true
+		s.out[c.Out] = time.Time{}
 	case c.In != "":
 		delete(s.out, c.In)
 	}
-	s.revisions[key] = c.Revision
 	return true
 }
 
@@ -228,7 +259,7 @@
 
 // appendLog adds a change to the log, and trims the log to logLimit changes when it has twice as many. A configuration
 // replaces the one before it in the log, which is never sent again.
-func (s *State) appendLog(to uint64, c Change) {
+func (s *State) appendLog(to Revision, c Change) {
 	if c.Config != nil {
 		s.log = slices.DeleteFunc(s.log, func(e logEntry) bool { return e.change.Config != nil })
 	}
@@ -265,6 +296,10 @@
 			d.Changes = append(d.Changes, s.log[i].change)
 		}
 	}
+	if s.config != nil && s.config.Version > p.Version && !slices.ContainsFunc(d.Changes, func(c Change) bool { return c.Config != nil }) {
+		// The receiver has read the platform after it came back from a copy with an older configuration.
+		d.Changes = append(d.Changes, Change{Revision: s.revisions[keyConfig], Config: s.config})
+	}
 	s.patchConfig(&d, p.Version)
 	return d
 }
@@ -287,16 +322,22 @@
 	if s.config != nil {
 		d.Changes = append(d.Changes, Change{Revision: s.revisions[keyConfig], Config: s.config})
 	}
+	for _, key := range sortedKeys(s.doubtful) {
+		d.Changes = append(d.Changes, s.doubtful[key].Change)
+	}
 	for _, id := range sortedKeys(s.servers) {
 		e := s.servers[id]
-		if !e.heldUntil.IsZero() {
+		c := Change{Server: &e.Server}
+		if _, doubtful := s.doubtful[c.key()]; doubtful || !e.heldUntil.IsZero() {
 			continue
 		}
-		c := Change{Server: &e.Server}
 		c.Revision = s.revisions[c.key()]
 		d.Changes = append(d.Changes, c)
 	}
 	for _, name := range sortedKeys(s.out) {
+		if !s.out[name].IsZero() {
+			continue
+		}
 		c := Change{Out: name}
 		c.Revision = s.revisions[c.key()]
 		d.Changes = append(d.Changes, c)
--- a/feed/state_test.go
+++ b/feed/state_test.go
@@ -170,12 +170,12 @@
 	apply(t, from, 0, Delta{Full: true, To: 1, Changes: []Change{{Revision: 1, Server: server("a")}}})
 	apply(t, to, 0, from.Since(Position{}))
 	var seen []weak.Pointer[table.Config]
-	revision := uint64(1)
+	revision := Revision(1)
 	for range 40 {
 		d := Delta{From: revision}
 		for range 5 {
 			revision++
-			c := &table.Config{Version: revision, Services: []table.Service{{Name: fmt.Sprint("s-", revision)}}}
+			c := &table.Config{Version: uint64(revision), Services: []table.Service{{Name: fmt.Sprint("s-", revision)}}}
 			d.Changes = append(d.Changes, Change{Revision: revision, Config: c})
 			seen = append(seen, weak.Make(c))
 		}
@@ -262,7 +262,7 @@
 
 // publisher is a model of the platform that keeps all changes.
 type publisher struct {
-	revision uint64
+	revision Revision
 	version  uint64
 	entries  map[string]Change
 	history  []Change
@@ -305,7 +305,7 @@
 	return d
 }
 
-func (p *publisher) since(revision uint64) Delta {
+func (p *publisher) since(revision Revision) Delta {
 	d := Delta{From: revision, To: p.revision}
 	for _, c := range p.history {
 		if c.Revision > revision {
--- a/feed/view.go
+++ b/feed/view.go
@@ -15,7 +15,8 @@
 	Servers []ServerView
 	// Out holds the failure domains that operators have taken out.
 	Out map[string]bool
-	// NextExpiry is the earliest time at which a held server is removed from the view, zero when none is held.
+	// NextExpiry is the earliest time at which the view changes because the hold of a server or failure domain ends, zero
+	// when none is held.
 	NextExpiry time.Time
 }
 
@@ -28,9 +29,9 @@
 	Lapsed bool
 }
 
-// View returns the effective state at the given time, and drops held servers whose hold time has ended.
+// View returns the effective state at the given time, and drops what is held beyond its time.
 func (s *State) View(now time.Time) View {
-	v := View{Config: s.config, Out: make(map[string]bool, len(s.out))}
+	v := View{Config: s.config, Out: make(map[string]bool, len(s.out)), NextExpiry: s.acceptDoubtful(now)}
 	holders := s.addressHolders()
 	for _, id := range sortedKeys(s.servers) {
 		e := s.servers[id]
@@ -42,9 +43,7 @@
 				delete(s.servers, id)
 				continue
 			}
-			if v.NextExpiry.IsZero() || e.heldUntil.Before(v.NextExpiry) {
-				v.NextExpiry = e.heldUntil
-			}
+			v.expire(e.heldUntil)
 		}
 		x := ServerView{Server: e.Server, Lapsed: !e.heldUntil.IsZero()}
 		if e.Cold > 0 {
@@ -52,12 +51,24 @@
 		}
 		v.Servers = append(v.Servers, x)
 	}
-	for name := range s.out {
+	for name, until := range s.out {
+		if !until.IsZero() && !now.Before(until) {
+			delete(s.out, name)
+			continue
+		}
 		v.Out[name] = true
+		v.expire(until)
 	}
 	return v
 }
 
+// expire sets NextExpiry to the given time, unless that is zero or later.
+func (v *View) expire(at time.Time) {
+	if !at.IsZero() && (v.NextExpiry.IsZero() || at.Before(v.NextExpiry)) {
+		v.NextExpiry = at
+	}
+}
+
 // addressHolders returns the ID of the server that holds each address: the one whose entry was written last.
 // Entries of stopped servers may stay listed for a while after their address has been reassigned.
 func (s *State) addressHolders() map[netip.AddrPort]string {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -37,8 +37,8 @@
 	unavailable atomic.Bool
 	// cut makes the answers to watches that have changes unreadable.
 	cut atomic.Bool
-	// reads counts the reads that succeeded.
-	reads atomic.Int64
+	// reads counts the reads that succeeded, and loads the loads.
+	reads, loads atomic.Int64
 	// delay is added to each answer, in nanoseconds.
 	delay atomic.Int64
 	// panics is the number of further reads that panic, as on an answer that a decoder does not expect.
@@ -55,6 +55,7 @@
 }
 
 func (s *platformLink) Load(ctx context.Context, stale bool) (feed.Delta, error) {
+	s.loads.Add(1)
 	if s.panics.Add(-1) >= 0 {
 		panic("malformed answer")
 	}
@@ -67,7 +68,7 @@
 	return s.MemoryPlatform.Load(ctx, stale)
 }
 
-func (s *platformLink) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
+func (s *platformLink) Watch(ctx context.Context, after feed.Revision, wait time.Duration) (feed.Delta, error) {
 	if s.panics.Add(-1) >= 0 {
 		panic("malformed answer")
 	}
--- a/node/install.go
+++ b/node/install.go
@@ -10,7 +10,7 @@
 	"github.com/arbutusthread/arbutusthread/table"
 )
 
-func (n *Node) revision() uint64 {
+func (n *Node) revision() feed.Revision {
 	n.feedMu.Lock()
 	defer n.feedMu.Unlock()
 	return n.feed.Revision()
@@ -36,16 +36,21 @@
 	if err := n.apply(time.Now(), d, "peer"); err != nil {
 		return err
 	}
-	n.peer.SetFeed(n.revision(), false)
+	n.peer.SetFeed(uint64(n.revision()), false)
 	return nil
 }
 
 // apply merges changes into the feed state and installs the result. The origin is only logged.
 func (n *Node) apply(now time.Time, d feed.Delta, origin string) error {
-	changed, revision, err := n.applyLocked(now, d)
+	changed, before, revision, err := n.applyLocked(now, d)
 	if err != nil {
 		return err
 	}
+	if before > 0 && revision.Era() > before.Era() {
+		n.metrics.Count("platform_restores")
+		n.log.Warn("platform restored from a copy", "From", origin, "Era", revision.Era(), "Revision", revision.Number(),
+			"EarlierEra", before.Era(), "EarlierRevision", before.Number())
+	}
 	if changed {
 		n.log.Info("platform data changed", "From", origin, "Revision", revision, "Changes", len(d.Changes), "Full", d.Full)
 		n.install(now)
@@ -53,11 +58,13 @@
 	return nil
 }
 
-func (n *Node) applyLocked(now time.Time, d feed.Delta) (changed bool, revision uint64, err error) {
+// applyLocked also returns the revision before and after the changes.
+func (n *Node) applyLocked(now time.Time, d feed.Delta) (changed bool, before, after feed.Revision, err error) {
 	n.feedMu.Lock()
 	defer n.feedMu.Unlock()
+	before = n.feed.Revision()
 	changed, err = n.feed.Apply(now, d)
-	return changed, n.feed.Revision(), err
+	return changed, before, n.feed.Revision(), err
 }
 
 // dropExpired drops lapsed servers whose hold time has ended.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -53,7 +53,8 @@
 	m := n.metrics
 	p := n.position()
 	m.SetGauge("config_version", float64(p.Version))
-	m.SetGauge("platform_revision", float64(p.Revision))
+	m.SetGauge("platform_era", float64(p.Revision.Era()))
+	m.SetGauge("platform_revision", float64(p.Revision.Number()))
 	if age, ok := n.peer.FeedAge(); ok {
 		m.SetGauge("platform_age_seconds", age.Seconds())
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -29,12 +29,13 @@
 
 // Source reads the data that the platform publishes. It is safe for concurrent use.
 type Source interface {
-	// Load reads a full snapshot. A stale read is cheap, and may return data that is seconds old.
+	// Load reads a full snapshot of one era. A stale read is cheap, and may return data that is seconds old. It returns
+	// feed.ErrRestored when the era has changed during the read.
 	Load(ctx context.Context, stale bool) (feed.Delta, error)
 	// Watch returns the changes after a revision as soon as there are any, or an empty delta when
 	// there are none within the wait. It returns feed.ErrCompacted when the platform no longer keeps the
-	// changes after the revision.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error)
+	// changes after the revision, and feed.ErrRestored when the revision is of an earlier era.
+	Watch(ctx context.Context, after feed.Revision, wait time.Duration) (feed.Delta, error)
 }
 
 // Config holds the settings and dependencies of a node. The settings must have passed Settings.Check.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -219,7 +219,7 @@
 		broken.Routes = []table.Route{{Host: "h", Prefix: "/"}, {}}
 		return members[0].applyPeerDelta(feed.Delta{From: 0, To: 1 << 40, Changes: []feed.Change{{Revision: 1 << 40, Config: &broken}}})
 	}))
-	done := make(chan uint64, 1)
+	done := make(chan feed.Revision, 1)
 	go func() { done <- members[0].revision() }()
 	select {
 	case <-done:
--- a/node/read.go
+++ b/node/read.go
@@ -63,13 +63,19 @@
 		}
 		return err
 	})
+	if err == nil && d.To.Era() < n.revision().Era() {
+		err = feed.ErrEarlierEra
+	}
 	now := time.Now()
 	n.metrics.Count("platform_reads", "step", p.Step.String(), "ok", strconv.FormatBool(err == nil))
 	if err != nil {
 		select {
 		case <-stopped: // the node is stopping: the error is no failure of the platform
 		default:
-			n.recordReadFailure(now, err)
+			// Otherwise a peer has sent the new era during the watch, so that no load is needed.
+			if p.Step != feed.Watch || !errors.Is(err, feed.ErrRestored) || n.revision().Era() == p.After.Era() {
+				n.recordReadFailure(now, err)
+			}
 		}
 		return
 	}
@@ -88,11 +94,11 @@
 		return
 	}
 	n.setBlind(false)
-	n.peer.SetFeed(n.revision(), true)
+	n.peer.SetFeed(uint64(n.revision()), true)
 }
 
-// load reads a full snapshot: a stale read plus the changes after it or, when the platform no longer keeps these, a
-// read that is not stale. A fresh load needs only the latter.
+// load reads a full snapshot: a stale read plus the changes after it or, when the platform no longer keeps these or the
+// stale answer is of an earlier era, a read that is not stale. A fresh load needs only the latter.
 func (n *Node) load(ctx context.Context, fresh bool) (feed.Delta, error) {
 	source := n.config.Source
 	if fresh {
@@ -103,7 +109,7 @@
 		return d, err
 	}
 	w, err := source.Watch(ctx, d.To, time.Millisecond)
-	if errors.Is(err, feed.ErrCompacted) {
+	if errors.IsAny(err, feed.ErrCompacted, feed.ErrRestored) {
 		return source.Load(ctx, false)
 	}
 	d.To = w.To
@@ -117,7 +123,7 @@
 	failures, blind := n.reader.Failures(), n.reader.IsBlind()
 	n.feedMu.Unlock()
 	n.setBlind(blind)
-	if failures == 1 || errors.IsAny(err, feed.ErrCompacted, feed.ErrIncomplete) {
+	if failures == 1 || errors.IsAny(err, feed.ErrCompacted, feed.ErrIncomplete, feed.ErrRestored) {
 		n.log.Warn("platform read failed", "Error", err, "Revision", n.revision())
 	}
 }
--- a/node/read_test.go
+++ b/node/read_test.go
@@ -21,7 +21,7 @@
 	return feed.Delta{Full: true, To: 9}, nil
 }
 
-func (s *cutSource) Watch(_ context.Context, after uint64, _ time.Duration) (feed.Delta, error) {
+func (s *cutSource) Watch(_ context.Context, after feed.Revision, _ time.Duration) (feed.Delta, error) {
 	return feed.Delta{From: after, To: after}, errors.Wrap(feed.ErrIncomplete, "watch")
 }
 
@@ -35,7 +35,7 @@
 	is.True(errors.Is(err, feed.ErrIncomplete))
 	d, err := n.load(t.Context(), true)
 	is.NoErr(err)
-	is.Equal(d.To, uint64(9))
+	is.Equal(d.To, feed.Revision(9))
 	is.Equal(s.stale, []bool{true, false})
 }
 
--- a/node/status.go
+++ b/node/status.go
@@ -17,7 +17,9 @@
 	Stopping      bool   `json:"Stopping"`
 	// ConfigVersion is the version of the current configuration, 0 before the first.
 	ConfigVersion uint64 `json:"ConfigVersion"`
-	// Revision is the revision of the platform's data, and Age the time since the data was last confirmed as current.
+	// Era and Revision are the position in the platform's data, and Age the time since the data was last confirmed as
+	// current. Era rises when the platform comes back from a copy.
+	Era      uint64        `json:"Era,omitempty"`
 	Revision uint64        `json:"Revision"`
 	Age      wire.Duration `json:"Age,omitempty"`
 	// Reads means that this node is a reader of the platform, and Blind that its reads fail.
@@ -34,7 +36,7 @@
 	p := n.position()
 	s := Status{
 		Name: n.settings.Load().Name, FailureDomain: n.settings.Load().FailureDomain, Ready: n.Ready(),
-		Stopping: n.stopping.Load(), ConfigVersion: p.Version, Revision: p.Revision, Reads: n.peer.ReaderRank() == 0,
+		Stopping: n.stopping.Load(), ConfigVersion: p.Version, Era: p.Revision.Era(), Revision: p.Revision.Number(), Reads: n.peer.ReaderRank() == 0,
 		Blind: n.peer.Self().Blind, Members: n.peer.Members(), Control: n.peer.Counters(),
 	}
 	if age, ok := n.peer.FeedAge(); ok {
--- a/peer/client.go
+++ b/peer/client.go
@@ -83,7 +83,7 @@
 // Feed pulls the changes of the platform feed after a position. Errors are of type *wire.Failure.
 func (k *Client) Feed(ctx context.Context, to netip.AddrPort, after feed.Position) (feed.Delta, error) {
 	var d feed.Delta
-	uri := fmt.Sprintf("%s?after=%d&config=%d", pathFeed, after.Revision, after.Version)
+	uri := fmt.Sprintf("%s?after=%d&config=%d", pathFeed, uint64(after.Revision), after.Version)
 	err := k.do(ctx, to, http.MethodGet, uri, nil, &d)
 	return d, err
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -191,7 +191,7 @@
 	if err != nil {
 		return nil, n.refuse(wire.StepDecode, wire.ReasonBadRequest, "config: %v", err)
 	}
-	return n.config.Handlers.Feed(feed.Position{Revision: revision, Version: version}), nil
+	return n.config.Handlers.Feed(feed.Position{Revision: feed.Revision(revision), Version: version}), nil
 }
 
 // minCompressBytes is the minimum size in bytes of a response body that is compressed. Smaller bodies do not
--- a/plat/feed.go
+++ b/plat/feed.go
@@ -27,12 +27,12 @@
 
 // Watch returns the whole document as soon as its version is above the revision after, or an empty delta if there is
 // none within the wait.
-func (f *Feed) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
+func (f *Feed) Watch(ctx context.Context, after feed.Revision, wait time.Duration) (feed.Delta, error) {
 	return f.read(ctx, after, wait)
 }
 
-func (f *Feed) read(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
-	raw, err := f.client.Read(ctx, after, wait)
+func (f *Feed) read(ctx context.Context, after feed.Revision, wait time.Duration) (feed.Delta, error) {
+	raw, err := f.client.Read(ctx, after.Number(), wait)
 	if err != nil || raw == nil {
 		return feed.Delta{From: after, To: after}, err
 	}
@@ -43,24 +43,28 @@
 	if err != nil {
 		return feed.Delta{}, errors.Wrap(err, "plat: invalid configuration")
 	}
-	return deltaOf(d), nil
+	return deltaOf(d)
 }
 
 // deltaOf converts a document to a full delta.
-func deltaOf(d *conf.Document) feed.Delta {
-	x := feed.Delta{To: d.Version, Full: true}
-	x.Changes = append(x.Changes, feed.Change{Revision: d.Version, Config: d.Routing()})
+func deltaOf(d *conf.Document) (feed.Delta, error) {
+	revision, err := feed.NewRevision(0, d.Version)
+	if err != nil {
+		return feed.Delta{}, errors.Wrap(err, "plat: version of the configuration")
+	}
+	x := feed.Delta{To: revision, Full: true}
+	x.Changes = append(x.Changes, feed.Change{Revision: revision, Config: d.Routing()})
 	for _, v := range d.Services {
 		for _, b := range v.Servers {
-			x.Changes = append(x.Changes, feed.Change{Revision: d.Version, Server: &feed.Server{
+			x.Changes = append(x.Changes, feed.Change{Revision: revision, Server: &feed.Server{
 				ID: b.Address.String(), Service: v.Name, Address: b.Address, FailureDomain: b.FailureDomain, Slots: b.Slots,
 			}})
 		}
 	}
 	for _, m := range d.FailureDomains {
 		if m.State == conf.DomainOut {
-			x.Changes = append(x.Changes, feed.Change{Revision: d.Version, Out: m.Name})
+			x.Changes = append(x.Changes, feed.Change{Revision: revision, Out: m.Name})
 		}
 	}
-	return x
+	return x, nil
 }
--- a/plat/feed_test.go
+++ b/plat/feed_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/fake"
+	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/table"
 )
 
@@ -32,7 +33,7 @@
 	x, err := f.Load(context.Background(), true)
 	is.NoErr(err)
 	is.True(x.Full)
-	is.Equal(x.To, d.Version)
+	is.Equal(x.To, feed.Revision(d.Version))
 	is.Equal(x.Changes[0].Config.Routes, d.Routes)
 	servers := 0
 	for _, c := range x.Changes {
@@ -50,8 +51,8 @@
 	next.FailureDomains = append([]conf.FailureDomain(nil), d.FailureDomains...)
 	next.FailureDomains[0].State = conf.DomainOut
 	is.NoErr(platform.Publish(&next))
-	x, err = f.Watch(context.Background(), d.Version, time.Second)
+	x, err = f.Watch(context.Background(), feed.Revision(d.Version), time.Second)
 	is.NoErr(err)
-	is.Equal(x.To, next.Version)
+	is.Equal(x.To, feed.Revision(next.Version))
 	is.Equal(x.Changes[len(x.Changes)-1].Out, d.FailureDomains[0].Name)
 }
