Refuse the head of an answer that contains another one

Cause: the beginning of a late copy of an answer and the next answer make one head, with the status and seal of the old answer and the ID of the new one. Nothing rejected it.

Change: a head with a status line in its reason phrase, a header's value or the names of its trailers, or with several IDs, seals, statements that it has not run or instances, is no answer. Interim heads and the answers that serve reads are checked too.

--- a/back/exchange.go
+++ b/back/exchange.go
@@ -203,6 +203,9 @@
 		return 0, false, &readError{err: err}
 	}
 	defer v.Body.Close()
+	if err := checkHead(v); err != nil {
+		return 0, false, &readError{err: err}
+	}
 	s.in.Reset()
 	c.readBudget += limit
 	if v.ContentLength > int64(limit) {
--- a/back/forward.go
+++ b/back/forward.go
@@ -268,6 +268,10 @@
 		return
 	}
 	c.echoesID = c.echoesID || id != ""
+	if name := repeatedHeader(reply.Header, h); name != "" {
+		r.fail(Invalid, "back: answer has several values of "+name)
+		return
+	}
 	switch {
 	case reply.Status == http.StatusMisdirectedRequest:
 		r.Reason = wire.BackendIncarnation
--- a/back/reply.go
+++ b/back/reply.go
@@ -46,6 +46,8 @@
 		switch {
 		case err != nil:
 			return nil, err
+		case checkHead(v) != nil:
+			return nil, errJoinedHeads
 		case v.StatusCode < 100 || v.StatusCode > 599 || v.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errors.Wrapf(errStatus, "%q", v.Status)
 		case v.StatusCode >= http.StatusOK:
