Try a request that has crashed servers on one server at a time

Cause: the refusal ended on all nodes at the same moment, and nothing held the request back until the next crash was known.

Change: after the refusal one attempt at a time runs at a node, on one server, and nodes begin a second apart. A success ends the suspicion.

--- a/guard/poison.go
+++ b/guard/poison.go
@@ -18,8 +18,8 @@
 	singleServerThreshold = 3
 	// refusalPeriod is the retention of crash records and the duration of the refusal of a request that has
 	// crashed servers in two incidents. After one incident the request is refused only for
-	// initialRefusalPeriod, because many servers may have crashed together for another reason; that is longer
-	// than it takes to propagate crash records between nodes.
+	// initialRefusalPeriod and then tried, because many servers may have crashed together for another reason; that is
+	// longer than it takes to propagate crash records between nodes.
 	refusalPeriod        = 10 * time.Minute
 	initialRefusalPeriod = 5 * time.Second
 	// incidentWindow is the longest time from the first crash of an incident to its last: a request is retried
@@ -43,6 +43,8 @@
 	crashes map[Fingerprint][]Crash
 	// cleared holds the last success of each request that had crash records.
 	cleared map[Fingerprint]time.Time
+	// trials holds the end of the trial of each request with crash records that is on trial.
+	trials map[Fingerprint]time.Time
 }
 
 // interruptedRun is a connection that broke while a server was running a request.
@@ -65,7 +67,9 @@
 
 // NewPoisonDetector returns a detector without crash records.
 func NewPoisonDetector() *PoisonDetector {
-	return &PoisonDetector{crashes: make(map[Fingerprint][]Crash), cleared: make(map[Fingerprint]time.Time)}
+	return &PoisonDetector{
+		crashes: make(map[Fingerprint][]Crash), cleared: make(map[Fingerprint]time.Time), trials: make(map[Fingerprint]time.Time),
+	}
 }
 
 // ConnectionBroken records that a connection, which was opened at the given time, broke while the server may have been
@@ -146,6 +150,7 @@
 	list := slices.DeleteFunc(d.crashes[f], func(c Crash) bool { return !keep(c) })
 	if len(list) == 0 {
 		delete(d.crashes, f)
+		delete(d.trials, f)
 		return
 	}
 	d.crashes[f] = list
--- a/node/node.go
+++ b/node/node.go
@@ -80,6 +80,8 @@
 	relays  map[gather.RelayID]context.CancelFunc
 	attemptCounters
 	quarantine *guard.PoisonDetector
+	// livePeers are the addresses of the members that are alive, among which trials of poison requests are staggered.
+	livePeers []netip.AddrPort
 
 	statusMu sync.Mutex
 	status   fleet.Status
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -40,6 +40,7 @@
 		}
 	case outcome == gather.Broken && r.Refused:
 		n.quarantine.ConnectionBroken(now, c.fingerprint, server, r.Opened)
+		c.unclear = true
 		if !n.probing[server] {
 			n.probing[server] = true
 			go n.probe(server)
@@ -135,9 +136,20 @@
 }
 
 // checkQuarantine reports whether a request is quarantined because it has crashed too many servers, and returns its
-// result if so. The caller holds n.mu.
+// result if so. A request on trial may run on one server only. The caller holds n.mu.
 func (n *Node) checkQuarantine(now time.Time, c *call) (gather.Finished, bool) {
-	wait := n.quarantine.RefusedFor(now, c.fingerprint)
+	var wait time.Duration
+	if c.request == nil {
+		// The requesting node has admitted it.
+		wait = n.quarantine.RefusedFor(now, c.fingerprint)
+	} else {
+		rank := func() int { return guard.TrialRank(c.fingerprint, n.settings.Load().PeerAddress, n.livePeers) }
+		c.trial, wait = n.quarantine.Admit(now, c.fingerprint, rank, c.job.Deadline)
+	}
+	if c.trial {
+		n.log.Info("request that has crashed servers is tried on one", "RequestId", c.forward.RequestID, "Fingerprint", c.fingerprint)
+		c.job.MaxAttempts = 1
+	}
 	if wait == 0 {
 		return gather.Finished{}, false
 	}
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -195,6 +196,63 @@
 	is.True(!s.Crashed())
 }
 
+// Guards against a poison request that is repeated at once at all nodes and crashes all servers again as soon as its refusal
+// ends, before the next crash is known.
+func TestRepeatedPoisonRequestIsTriedOnFewServers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	published, members := newFleet(t, 92, "lukang", "yilan", "chiayi")
+	c := config("s")
+	c.Routes = []table.Route{{Name: "r", Host: "h", Prefix: "/", MaxAttempts: 2, Targets: []table.Target{{Service: "s", Weight: 1}}}}
+	published.SetConfig(c)
+	start := func(id string, address netip.AddrPort) *fake.RoutedServer {
+		s, err := fake.NewRoutedServer(address, fake.RoutedConfig{ID: id, Faults: fake.RoutedFaults{CrashURI: "/poison"}})
+		is.NoErr(err)
+		t.Cleanup(s.Close)
+		published.PutServer(feed.Server{ID: id, Service: "s", Address: s.Address(), FailureDomain: "lukang", Slots: 6})
+		return s
+	}
+	var servers []*fake.RoutedServer
+	for i := range 4 {
+		servers = append(servers, start(fmt.Sprint("i-", i), netip.MustParseAddrPort("127.0.0.1:0")))
+	}
+	for _, m := range members {
+		waitFor(t, "the list of servers", eventTimeout, func() bool { return hasService(m, "s") && len(m.Status().Servers) == 4 })
+	}
+	var group sync.WaitGroup
+	end := time.Now().Add(13 * time.Second)
+	for _, m := range members {
+		for range 4 {
+			group.Go(func() {
+				for time.Now().Before(end) {
+					_, _ = m.Serve(t.Context(), &Request{
+						Route: &m.Table().Config().Routes[0], Deadline: time.Now().Add(time.Second),
+						Forward: back.Forward{Method: http.MethodPost, URI: "/poison", Host: "h", RequestID: "r", NonIdempotent: true},
+					})
+					time.Sleep(50 * time.Millisecond)
+				}
+			})
+		}
+	}
+	time.Sleep(2 * time.Second) // the servers are back after some seconds
+	var again []*fake.RoutedServer
+	for i, s := range servers {
+		published.RemoveServer(fmt.Sprint("i-", i))
+		s.Close()
+		again = append(again, start(fmt.Sprint("j-", i), s.Address()))
+	}
+	group.Wait()
+	crashed := 0
+	for _, s := range again {
+		if s.Crashed() {
+			crashed++
+		}
+	}
+	t.Logf("%d servers crashed again", crashed)
+	is.True(crashed <= 3)
+	is.True(crashed >= 1) // the request has been tried
+}
+
 // Guards against a restarted node that passes a poison request on again: it must learn of both incidents in which the
 // request has crashed servers, although the same servers crashed in both.
 func TestStartedNodeKnowsAllCrashesOfARequest(t *testing.T) {
--- a/node/serve.go
+++ b/node/serve.go
@@ -68,6 +68,9 @@
 	fingerprint guard.Fingerprint
 	topK        int
 	id          gather.JobID
+	// trial is set if the request has crashed servers and is tried on one, and unclear if it is not known yet whether that has
+	// crashed: its connection broke, or the caller has disconnected.
+	trial, unclear bool
 	// parts holds the accepted part of each shard, nil where there is none.
 	parts []*Part
 	// deliveries holds the delivery state of each shard.
@@ -128,18 +131,29 @@
 	if f, refused := n.submit(c); refused {
 		return f, nil
 	}
+	if c.trial {
+		defer n.endTrial(c)
+	}
 	select {
 	case f := <-c.done:
 		return f, nil
 	case <-ctx.Done():
 		n.mu.Lock()
 		defer n.mu.Unlock()
+		c.unclear = true
 		n.perform(time.Now(), c, n.engine.Abandon(c.id))
 		n.removeCall(c)
 		return gather.Finished{}, context.Cause(ctx)
 	}
 }
 
+// endTrial ends the trial of a request that has crashed servers.
+func (n *Node) endTrial(c *call) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.quarantine.EndTrial(time.Now(), c.fingerprint, c.unclear)
+}
+
 // submit passes a call to the engine, unless it is quarantined; it then returns the refusal and true.
 func (n *Node) submit(c *call) (gather.Finished, bool) {
 	n.mu.Lock()
--- a/node/share.go
+++ b/node/share.go
@@ -38,6 +38,12 @@
 	n.mu.Lock()
 	n.engine.SetNodes(count)
 	n.engine.SetRelays(n.relaysOf(members))
+	n.livePeers = n.livePeers[:0]
+	for _, m := range members {
+		if m.State == fleet.StateAlive {
+			n.livePeers = append(n.livePeers, m.Address)
+		}
+	}
 	n.mu.Unlock()
 	n.feedMu.Lock()
 	n.sharerCount.table = nil
