--- a/feed/era_test.go
+++ b/feed/era_test.go
@@ -85,8 +85,12 @@
 	draining := *server("drained")
 	draining.Draining = true
 	s := restored(t, []Change{
-		{Revision: 41, Server: server("sound")}, {Revision: 42, Server: server("drained")}, {Revision: 43, Server: server("left")},
-		{Revision: 56, Server: server("new")}, {Revision: 57, Server: &draining}, {Revision: 58, Removed: "left"},
+		{Revision: 41, Server: server("sound")},
+		{Revision: 42, Server: server("drained")},
+		{Revision: 43, Server: server("left")},
+		{Revision: 56, Server: server("new")},
+		{Revision: 57, Server: &draining},
+		{Revision: 58, Removed: "left"},
 	}, []Change{
 		{Revision: 41, Server: server("sound")}, {Revision: 42, Server: server("drained")}, {Revision: 43, Server: server("left")},
 	})
--- a/gather/restart_test.go
+++ b/gather/restart_test.go
@@ -27,8 +27,8 @@
 }
 
 // refuse ends an attempt because the address of its server refuses connections.
-func (f *fixture) refuse(s Send) Actions {
-	return f.Done(f.now, s.Attempt, Result{Outcome: Unsent, Refused: true, Detail: "connection refused"})
+func (f *fixture) refuse(s Send) {
+	f.Done(f.now, s.Attempt, Result{Outcome: Unsent, Refused: true, Detail: "connection refused"})
 }
 
 // burst submits 50 requests, abandons those that must wait, and returns the sends of the others.
