--- a/feed/growth_test.go
+++ b/feed/growth_test.go
@@ -23,6 +23,25 @@
 	return int64(m.HeapAlloc)
 }
 
+// Guards against a replica that remembers each failure domain that was ever taken out, also those of another writer's entries.
+func TestReplicaForgetsFailureDomains(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := NewState()
+	apply(t, s, 0, Delta{Full: true, To: 1})
+	revision := Revision(1)
+	for i := range 1000 {
+		name := fmt.Sprint("d-", i)
+		apply(t, s, 0, Delta{From: revision, To: revision + 2, Changes: []Change{
+			{Revision: revision + 1, Out: name}, {Revision: revision + 2, In: name},
+		}})
+		revision += 2
+	}
+	apply(t, s, 0, Delta{From: revision, To: revision + 1, Changes: []Change{{Revision: revision + 1, Out: "d-999"}}})
+	apply(t, s, 2*tombstoneTTL, Delta{From: revision + 1, To: revision + 1})
+	is.Equal(len(s.revisions), 1) // d-999 is out again
+}
+
 // Guards against memory that grows with the history of a replica: with the versions of the configuration, and with the
 // servers and failure domains that come and go.
 func TestReplicaDoesNotGrowWithItsHistory(t *testing.T) {
--- a/feed/state.go
+++ b/feed/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,8 +21,7 @@
 	// maxConfigs is the number of recent configurations for which a node can be sent a patch. Changes in
 	// quick succession arrive at several a second.
 	maxConfigs = 16
-	// tombstoneTTL is how long the removal of a server is kept, so that a late older change cannot restore
-	// the server.
+	// tombstoneTTL is how long the removal of an entry is kept, so that a late older change cannot restore it.
 	tombstoneTTL = time.Minute
 )
 
@@ -238,6 +238,7 @@
 	case c.Out != "":
 		s.out[c.Out] = time.Time{}
 	case c.In != "":
+		s.tombstones = append(s.tombstones, tombstone{c.key(), now})
 		delete(s.out, c.In)
 	}
 	return true
@@ -276,12 +277,21 @@
 	for len(s.tombstones) > 0 && now.Sub(s.tombstones[0].removedAt) > tombstoneTTL {
 		key := s.tombstones[0].key
 		s.tombstones = s.tombstones[1:]
-		if s.servers[key[len(keyServer):]] == nil {
+		if !s.hasEntry(key) {
 			delete(s.revisions, key)
 		}
 	}
 }
 
+// hasEntry reports whether the replica has an entry of a server or failure domain.
+func (s *State) hasEntry(key string) bool {
+	if id, ok := strings.CutPrefix(key, keyServer); ok {
+		return s.servers[id] != nil
+	}
+	_, out := s.out[strings.TrimPrefix(key, keyDomain)]
+	return out
+}
+
 // Since returns the changes after a position, or a full delta when the changes are no longer kept. The
 // configuration is sent as a patch when the receiver's version is still kept.
 func (s *State) Since(p Position) Delta {
--- a/feed/view.go
+++ b/feed/view.go
@@ -53,7 +53,7 @@
 	}
 	for name, until := range s.out {
 		if !until.IsZero() && !now.Before(until) {
-			delete(s.out, name)
+			s.set(now, &Change{In: name})
 			continue
 		}
 		v.Out[name] = true
