--- a/feed/state.go
+++ b/feed/state.go
@@ -68,7 +68,8 @@
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
-		servers: make(map[string]*entry), doubtful: make(map[string]doubtfulServer), out: make(map[string]time.Time), revisions: make(map[string]Revision),
+		servers: make(map[string]*entry), out: make(map[string]time.Time), doubtful: make(map[string]doubtfulServer),
+		revisions: make(map[string]Revision),
 	}
 }
 
@@ -97,9 +98,9 @@
 // Confirmed returns the last time at which the state was confirmed as current.
 func (s *State) Confirmed() time.Time { return s.confirmed }
 
-// Apply applies a delta and reports whether the state changed. It returns ErrGap when changes before the
-// delta are missing, as they are at the begin of an era, and an error when a patch does not apply. Changes that are not newer than the state have
-// no effect, so that deltas may arrive more than once or out of order.
+// Apply applies a delta and reports whether the state changed. It returns ErrGap when changes before the delta are missing,
+// as they are before the first full delta of an era, and an error when a patch does not apply. Changes that are not newer
+// than the state have no effect, so that deltas may arrive more than once or out of order.
 func (s *State) Apply(now time.Time, d Delta) (bool, error) {
 	if !d.Full && (d.From > s.revision || d.To.Era() > s.revision.Era()) {
 		return false, ErrGap
@@ -291,75 +292,3 @@
 	_, out := s.out[strings.TrimPrefix(key, keyDomain)]
 	return out
 }
-
-// Since returns the changes after a position, or a full delta when the changes are no longer kept. The
-// configuration is sent as a patch when the receiver's version is still kept.
-func (s *State) Since(p Position) Delta {
-	if p.Revision == 0 || p.Revision < s.logStart {
-		d := s.full()
-		s.patchConfig(&d, p.Version)
-		return d
-	}
-	d := Delta{From: p.Revision, To: max(p.Revision, s.revision)}
-	for i := range s.log {
-		if s.log[i].to > p.Revision {
-			d.Changes = append(d.Changes, s.log[i].change)
-		}
-	}
-	if s.config != nil && s.config.Version > p.Version && !slices.ContainsFunc(d.Changes, func(c Change) bool { return c.Config != nil }) {
-		// The receiver has read the platform after it came back from a copy with an older configuration.
-		d.Changes = append(d.Changes, Change{Revision: s.revisions[keyConfig], Config: s.config})
-	}
-	s.patchConfig(&d, p.Version)
-	return d
-}
-
-// patchConfig replaces the configuration in a delta by a patch from the given version, if that is still kept.
-func (s *State) patchConfig(d *Delta, version uint64) {
-	i := slices.IndexFunc(s.configs, func(c *table.Config) bool { return c.Version == version })
-	if i < 0 || s.configs[i] == s.config {
-		return
-	}
-	for k := range d.Changes {
-		if c := &d.Changes[k]; c.Config != nil {
-			c.Patch, c.Config = table.Diff(s.configs[i], c.Config), nil
-		}
-	}
-}
-
-func (s *State) full() Delta {
-	d := Delta{To: s.revision, Full: true}
-	if s.config != nil {
-		d.Changes = append(d.Changes, Change{Revision: s.revisions[keyConfig], Config: s.config})
-	}
-	for _, key := range sortedKeys(s.doubtful) {
-		d.Changes = append(d.Changes, s.doubtful[key].Change)
-	}
-	for _, id := range sortedKeys(s.servers) {
-		e := s.servers[id]
-		c := Change{Server: &e.Server}
-		if _, doubtful := s.doubtful[c.key()]; doubtful || !e.heldUntil.IsZero() {
-			continue
-		}
-		c.Revision = s.revisions[c.key()]
-		d.Changes = append(d.Changes, c)
-	}
-	for _, name := range sortedKeys(s.out) {
-		if !s.out[name].IsZero() {
-			continue
-		}
-		c := Change{Out: name}
-		c.Revision = s.revisions[c.key()]
-		d.Changes = append(d.Changes, c)
-	}
-	return d
-}
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
