--- a/back/head.go
+++ b/back/head.go
@@ -13,7 +13,7 @@
 // errJoinedHeads means that the head of an answer contains a part of another head.
 var errJoinedHeads = errors.New("back: the head of the answer contains another status line")
 
-// statusLine matches the begin of a status line. http.ReadResponse accepts it inside the reason phrase and header values.
+// statusLine matches the beginning of a status line. http.ReadResponse accepts it inside the reason phrase and header values.
 var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}`)
 
 // checkHead returns an error if the head was joined from the beginning of one answer and another answer. A server may send a
--- a/feed/era_test.go
+++ b/feed/era_test.go
@@ -403,6 +403,10 @@
 		if got := fmt.Sprint(ids(v), v.Out, version(v.Config)); got != want {
 			return fmt.Errorf("node %d has %s, want %s as on the platform", i, got, want)
 		}
+		// The broken variants of TestRestoresShowFaults change positions, and must be found by what the nodes have.
+		if change == nil && n.Revision() != p.revision {
+			return fmt.Errorf("node %d is at %s, want %s as the platform", i, n.Revision(), p.revision)
+		}
 	}
 	return nil
 }
--- a/node/restore_test.go
+++ b/node/restore_test.go
@@ -54,6 +54,8 @@
 // caught up, that return to what the copy says, or that all load it.
 func TestNodesFollowARestoredPlatform(t *testing.T) {
 	t.Parallel()
+	// readers is the number of nodes of a region that read the platform.
+	const readers = 2
 	for name, play := range map[string]func(f *restoreFleet, restore func()){
 		"after an outage": func(f *restoreFleet, restore func()) {
 			f.published.SetDown(true)
@@ -140,9 +142,11 @@
 				t.Error(text)
 			}
 			t.Logf("%d loads", loads)
-			is.True(loads <= int64(len(members))) // a load of each reader in each new era, not of each node
+			eras := members[0].Status().Era
+			is.True(eras >= 1)
+			is.True(loads <= readers*int64(eras)) // a load of each reader in each new era, not of each node
 			for _, m := range members {
-				is.True(m.Status().Era >= 1)
+				is.Equal(m.Status().Era, eras)
 			}
 			is.True(strings.Count(nodes.logs.String(), "platform restored from a copy") >= len(members))
 		})
