Add the memory and the descriptors of the VM to the settings

Cause: the node does not know how much memory and how many descriptors its process has, so it cannot bound what clients use.

--- a/conf/settings.go
+++ b/conf/settings.go
@@ -53,13 +53,17 @@
 	Capacity         Capacity       `json:"Capacity,omitzero"`
 }
 
-// Capacity is the capacity of the node's VM. It determines the share of callers that are sent to the node, and how many
-// shards of a large request it sends for other nodes.
+// Capacity is the capacity of the node's VM. It determines the share of callers that are sent to the node, how many
+// shards of a large request it sends for other nodes, and what its clients may use.
 type Capacity struct {
 	// Cores is the number of cores that the process may use.
 	Cores float64 `json:"Cores,omitempty"`
 	// LinkMbps is the bandwidth of the VM's network link in megabits a second.
 	LinkMbps float64 `json:"LinkMbps,omitempty"`
+	// MemoryMB is the memory that the process may use in MiB, 256 by default.
+	MemoryMB float64 `json:"MemoryMB,omitempty"`
+	// Descriptors is the maximum number of open files and sockets of the process, 4,096 by default.
+	Descriptors int `json:"Descriptors,omitempty"`
 }
 
 const (
@@ -181,6 +185,11 @@
 	DefaultOrderKeyBatch     = 100
 	DefaultOrderKeys         = 100_000
 	DefaultDecisions         = 10_000
+	DefaultMemoryMB          = 256
+	DefaultDescriptors       = 4_096
+	// MinMemoryMB and MinDescriptors are what a node without callers needs, with room for one request at the limits.
+	MinMemoryMB    = 64
+	MinDescriptors = 128
 	// MinFleetKeyBytes is half the output length of HMAC-SHA-256, the minimum that RFC 2104 recommends.
 	MinFleetKeyBytes = 16
 	MaxFleetKeyBytes = 64
@@ -192,6 +201,8 @@
 	maxBoundTime     = time.Hour
 	maxCores         = 4096.0
 	maxLinkMbps      = 1e6
+	maxMemoryMB      = 1 << 20
+	maxDescriptors   = 1 << 20
 	maxLimitBytes    = 64 << 20
 	maxLimitEntries  = 10_000_000
 )
@@ -209,6 +220,8 @@
 	option.Default(&l.OrderKeyBatch, DefaultOrderKeyBatch)
 	option.Default(&l.OrderKeys, DefaultOrderKeys)
 	option.Default(&l.Decisions, DefaultDecisions)
+	option.Default(&s.Capacity.MemoryMB, DefaultMemoryMB)
+	option.Default(&s.Capacity.Descriptors, DefaultDescriptors)
 }
 
 // Check returns all faults of the settings. It reads no files.
@@ -245,6 +258,8 @@
 	c.bounds(s.Bounds)
 	checkRange(&c.faults, "Capacity.Cores", s.Capacity.Cores, 0, maxCores)
 	checkRange(&c.faults, "Capacity.LinkMbps", s.Capacity.LinkMbps, 0, maxLinkMbps)
+	checkRange(&c.faults, "Capacity.MemoryMB", s.Capacity.MemoryMB, MinMemoryMB, maxMemoryMB)
+	checkRange(&c.faults, "Capacity.Descriptors", s.Capacity.Descriptors, MinDescriptors, maxDescriptors)
 	c.fleetKeys(s.FleetKeys)
 	if (s.TLS.Certificate == "") != (s.TLS.Key == "") {
 		c.faults.add("TLS", "must have both Certificate and Key, or neither")
