Bound the connections of callers

What callers saw: no answer, while clients held all descriptors of the process. A connection took one of them whether or not a request came on it, so that 400 clients with a finished request each left none for backend servers and other callers.

Cause: front accepted any number of connections, and kept one until its client closed it or the idle timeout passed.

Change: package gate admits connections to a listener from a limit.Pool, for callers 0.3 of Capacity.Descriptors: each request may take a connection to a server as well. When there is no room, connections on which a request has not been received for more than a second are closed, then idle ones, the oldest first; a client that still finds none gets 503 with Retry-After 1. An incomplete head is refused with 503 by the gate, since net/http has no request then, and an incomplete body by the handler. A connection counts until its descriptor is closed, and at most a quarter may wait for clients to read their refusal.

Why it works: requests that are served keep their place, so that a refused one has never run (TestRefusalsAreTrue). After a refusal nothing more is written: bufio returns the part of a line before an error as a line, which net/http answered with 400.

--- a/front/conns.go
+++ b/front/conns.go
@@ -148,8 +148,8 @@
 	a := abortion{connections: len(s.conns)}
 	for c, v := range s.conns {
 		s.count("connections_closed", "reason", "abort")
-		if k, ok := c.(*lingeringConn); ok {
-			k.aborted.Store(true)
+		if k, ok := c.(interface{ Abort() }); ok {
+			k.Abort()
 		}
 		r, open := v.abort()
 		if !open {
--- a/front/ending_world_test.go
+++ b/front/ending_world_test.go
@@ -132,7 +132,7 @@
 	n := &handlerNode{caller: netip.AddrPortFrom(loopback(0), freePort(t)), stop: stop, ended: make(chan time.Time, 1)}
 	go func() {
 		_ = Serve(ctx, &Runtime{
-			CallerAddress: n.caller, Server: NewServer(handler, func() table.Limits { return table.Limits{} }, nopLog),
+			CallerAddress: n.caller, Server: NewServer(ServerConfig{Handler: handler, Limits: func() table.Limits { return table.Limits{} }, Log: nopLog}),
 			Run:   func(ctx context.Context) error { <-ctx.Done(); return nil },
 			Leave: func(time.Time) {}, StopTime: func() time.Duration { return endingStopTime }, Log: nopLog,
 		})
--- a/front/fleet_test.go
+++ b/front/fleet_test.go
@@ -108,7 +108,7 @@
 	go func() {
 		r.stopped <- Serve(ctx, &Runtime{
 			CallerAddress: settings.CallerAddress, Run: n.Run, Leave: n.Leave, StopTime: n.StopTime, Log: nopLog,
-			Server: NewServer(handler, func() table.Limits { return table.Limits{} }, nopLog),
+			Server: NewServer(ServerConfig{Handler: handler, Limits: func() table.Limits { return table.Limits{} }, Log: nopLog}),
 		})
 	}()
 	f.nodes = append(f.nodes, r)
--- a/front/handler.go
+++ b/front/handler.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/arbutusthread/arbutusthread/back"
+	"github.com/arbutusthread/arbutusthread/gate"
 	"github.com/arbutusthread/arbutusthread/gather"
 	"github.com/arbutusthread/arbutusthread/meter"
 	"github.com/arbutusthread/arbutusthread/node"
@@ -74,9 +75,16 @@
 	}
 	c.update(func(o *openRequest) { o.route = route.Name })
 	body, status, err := readBody(w, r, t.Config().Limits)
+	if status == 0 {
+		err = gate.Received(r.Context())
+	}
 	if err != nil {
 		h.logUnreadBody(r, c, err)
 	}
+	if errors.Is(err, gate.ErrRefused) {
+		h.refuse(w, r, http.StatusServiceUnavailable, "too many connections", gate.RetryAfter)
+		return
+	}
 	if status != 0 {
 		h.refuse(w, r, status, "the request cannot be read", 0)
 		return
--- a/front/idle_test.go
+++ b/front/idle_test.go
@@ -34,7 +34,7 @@
 		w.WriteHeader(http.StatusOK)
 		_, _ = w.Write(body)
 	})
-	f.server = NewServer(h, func() table.Limits { return table.Limits{} }, nopLog)
+	f.server = NewServer(ServerConfig{Handler: h, Limits: func() table.Limits { return table.Limits{} }, Log: nopLog})
 	l, err := listen(netip.MustParseAddrPort("127.0.77.1:0"))
 	if err != nil {
 		t.Fatal(err)
--- a/front/linger.go
+++ b/front/linger.go
@@ -22,6 +22,9 @@
 	aborted atomic.Bool
 }
 
+// Abort makes Close close at once.
+func (c *lingeringConn) Abort() { c.aborted.Store(true) }
+
 // Close closes the connection. If it holds unread data, it first closes only the sending side, and waits up to lingerTime
 // for the caller to close the other one.
 func (c *lingeringConn) Close() error {
--- a/front/linger_test.go
+++ b/front/linger_test.go
@@ -43,7 +43,7 @@
 // Guards against a connection that is closed as idle although a request has arrived and net/http has not read it yet.
 func TestConnectionWithUnreadRequestIsNotIdle(t *testing.T) {
 	is := is.New(t)
-	s := NewServer(http.NotFoundHandler(), func() table.Limits { return table.Limits{} }, nopLog)
+	s := NewServer(ServerConfig{Handler: http.NotFoundHandler(), Limits: func() table.Limits { return table.Limits{} }, Log: nopLog})
 	l, err := listen(netip.MustParseAddrPort("127.0.77.3:0"))
 	is.NoErr(err)
 	defer l.Close()
--- a/front/serve_test.go
+++ b/front/serve_test.go
@@ -251,9 +251,9 @@
 // closed.
 func TestIdleConnections(t *testing.T) {
 	is := is.New(t)
-	s := NewServer(http.NotFoundHandler(), func() table.Limits {
+	s := NewServer(ServerConfig{Handler: http.NotFoundHandler(), Limits: func() table.Limits {
 		return table.Limits{IdleTimeout: wire.Duration(time.Second)}
-	}, nopLog)
+	}, Log: nopLog})
 	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	served := make(chan error, 1)
--- a/front/server.go
+++ b/front/server.go
@@ -12,6 +12,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/gate"
+	"github.com/arbutusthread/arbutusthread/meter"
 	"github.com/arbutusthread/arbutusthread/table"
 )
 
@@ -31,9 +34,22 @@
 	firstRequestTime = 500 * time.Millisecond
 )
 
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	Handler http.Handler
+	// Limits is called at each check for idle connections, because the limits may change.
+	Limits func() table.Limits
+	// Capacity is that of the VM, of which callers get a share.
+	Capacity conf.Capacity
+	// Metrics may be nil.
+	Metrics *meter.Metrics
+	Log     *slog.Logger
+}
+
 // Server is the HTTP server for callers on one listener.
 type Server struct {
 	http     *http.Server
+	gate     *gate.Gate
 	limits   func() table.Limits
 	log      *slog.Logger
 	conns    *connSet
@@ -56,17 +72,23 @@
 	expired bool
 }
 
-// NewServer returns a Server for a handler. limits is called at each check for idle connections, because the
-// limits may change.
-func NewServer(h http.Handler, limits func() table.Limits, log *slog.Logger) *Server {
+// NewServer returns a Server.
+func NewServer(c ServerConfig) *Server {
+	h := c.Handler
 	s := &Server{
-		limits: limits, log: log, conns: newConnSet(h), served: make(chan struct{}), idle: make(map[net.Conn]*idleConn),
+		limits: c.Limits, log: c.Log, conns: newConnSet(h), served: make(chan struct{}), idle: make(map[net.Conn]*idleConn),
 	}
+	s.gate = gate.New(gate.Config{
+		Listener: "callers", Pool: gate.Callers.Pool(c.Capacity), Metrics: c.Metrics, Log: c.Log,
+	})
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(h, w, r) }),
 		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: table.DefaultHeaderTimeout,
-		IdleTimeout: time.Hour, ConnState: s.trackConnState, ConnContext: s.conns.add,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		IdleTimeout: time.Hour, ConnState: s.trackConnState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return s.conns.add(s.gate.ConnContext(ctx, c), c)
+		},
+		ErrorLog: slog.NewLogLogger(c.Log.Handler(), slog.LevelDebug),
 	}
 	return s
 }
@@ -82,6 +104,7 @@
 // trackConnState records when connections become idle. The idle timeout of net/http is not used because it
 // cannot be changed while the server is running.
 func (s *Server) trackConnState(c net.Conn, state http.ConnState) {
+	s.gate.ConnState(c, state)
 	s.conns.track(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,7 +143,7 @@
 	}()
 	go s.reapIdle(ctx)
 	defer close(s.served)
-	if err := s.http.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+	if err := s.http.Serve(s.gate.Listener(l)); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		return errors.Wrapf(err, "front: serve on %s", l.Addr())
 	}
 	return nil
--- a/front/stoplog_test.go
+++ b/front/stoplog_test.go
@@ -86,9 +86,9 @@
 	n := &loggedNode{log: &recorder{}, metrics: meter.New("node-0", "lukang")}
 	f.Cleanup(func() { n.metrics.Close() })
 	log := n.log.logger()
-	n.server = NewServer(NewHandler(Config{
+	n.server = NewServer(ServerConfig{Handler: NewHandler(Config{
 		Backend: largeBackend{f.nodes[0].Node}, Headers: wire.DefaultHeaders(), Metrics: n.metrics, Log: log,
-	}), func() table.Limits { return table.Limits{} }, log)
+	}), Limits: func() table.Limits { return table.Limits{} }, Log: log})
 	ctx, stop := context.WithCancel(context.Background())
 	n.runningNode = &runningNode{
 		Node: f.nodes[0].Node, caller: netip.AddrPortFrom(loopback(0), freePort(f.T)), stop: stop, stopped: make(chan error, 1),
@@ -307,7 +307,9 @@
 func TestPanicOfHandlerIsLogged(t *testing.T) {
 	is := is.New(t)
 	var r recorder
-	s := NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("index out of range") }), nil, r.logger())
+	s := NewServer(ServerConfig{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("index out of range") }), Log: r.logger(),
+	})
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = s.http
 	server.Start()
--- a/front/writer_test.go
+++ b/front/writer_test.go
@@ -14,13 +14,13 @@
 func TestPanicOfHandlerIsAnswered(t *testing.T) {
 	is := is.New(t)
 	f := newIdleFixture(t)
-	f.server = NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	f.server = NewServer(ServerConfig{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/late" {
 			w.WriteHeader(http.StatusOK)
 			_, _ = w.Write([]byte("begin"))
 		}
 		panic("malformed answer")
-	}), func() table.Limits { return table.Limits{} }, nopLog)
+	}), Limits: func() table.Limits { return table.Limits{} }, Log: nopLog})
 	t.Cleanup(f.server.Close)
 	f.serve()
 	c, in := f.dial()
--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,234 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/limit"
+)
+
+const (
+	// testTimeout ends a test that hangs.
+	testTimeout = 20 * time.Second
+	// testHeaderBytes is the size of the heads in the tests.
+	testHeaderBytes = 1 << 10
+)
+
+// roomyPool has room for all that a test sends.
+var roomyPool = limit.PoolConfig{Clients: 100, Bytes: 100 << 20, ClientBytes: 1 << 10, RequestShare: 1, Patience: 200 * time.Millisecond}
+
+// fixture is a server behind a gate that answers with the body of each request.
+type fixture struct {
+	*testing.T
+	address string
+	// served counts the requests that the handler has received.
+	served atomic.Int64
+	// work, if set, is called for each request that has been received.
+	work func()
+}
+
+func newFixture(t *testing.T, pool limit.PoolConfig) *fixture {
+	f := &fixture{T: t}
+	g := New(Config{Listener: "test", Pool: pool, Log: slog.New(slog.DiscardHandler)})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(f.serve))
+	server.Listener = g.Listener(server.Listener)
+	server.Config.ConnState, server.Config.ConnContext = g.ConnState, g.ConnContext
+	server.Start()
+	t.Cleanup(server.Close)
+	f.address = server.Listener.Addr().String()
+	return f
+}
+
+func (f *fixture) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = Received(r.Context())
+	}
+	if err != nil {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	f.served.Add(1)
+	if f.work != nil {
+		f.work()
+	}
+	_, _ = w.Write(body)
+}
+
+// client is a connection to the server.
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func (f *fixture) dial() *client {
+	f.Helper()
+	c, err := new(net.Dialer).DialContext(f.Context(), "tcp", f.address)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
+	return &client{c, bufio.NewReader(c)}
+}
+
+// send sends pieces of a request with a pause after each. The server may have closed the connection.
+func (c *client) send(pause time.Duration, pieces ...string) {
+	for _, p := range pieces {
+		_, _ = io.WriteString(c, p)
+		time.Sleep(pause)
+	}
+}
+
+// status reads an answer and returns its status, or 0 if there is none, and its Retry-After header.
+func (c *client) status() (int, string) {
+	a, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0, ""
+	}
+	defer a.Body.Close()
+	if _, err := io.Copy(io.Discard, a.Body); err != nil {
+		return 0, ""
+	}
+	return a.StatusCode, a.Header.Get("Retry-After")
+}
+
+const requestLine = "POST / HTTP/1.1\r\n"
+
+// fields returns header lines of a size for a request with a body of a length.
+func fields(size, length int) string {
+	s := fmt.Sprintf("Host: ledger.example\r\nContent-Length: %d\r\nPairs: ", length)
+	return s + strings.Repeat("p", size-len(s)-4) + "\r\n\r\n"
+}
+
+func ExampleGate() {
+	g := New(Config{
+		Listener: "directory", Pool: Directory.Pool(conf.Capacity{MemoryMB: 256, Descriptors: 4096}), Log: slog.Default(),
+	})
+	server := http.Server{Handler: http.NotFoundHandler(), ConnState: g.ConnState, ConnContext: g.ConnContext}
+	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	go func() { _ = server.Serve(g.Listener(l)) }()
+	response, err := http.Get("http://" + l.Addr().String()) //nolint:noctx // loopback
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer response.Body.Close()
+	fmt.Println(response.Status, server.Close())
+	// Output: 404 Not Found <nil>
+}
+
+// Guards against clients that keep others out: with a request that does not end, or without any.
+func TestStalledClientsGiveWay(t *testing.T) {
+	is := is.New(t)
+	pool := roomyPool
+	pool.Clients = 3
+	f := newFixture(t, pool)
+	head := requestLine + fields(100, 5)
+	stalled := []*client{f.dial(), f.dial(), f.dial()}
+	stalled[0].send(0, head[:50])
+	stalled[1].send(0, head+"pair")
+	time.Sleep(pool.Patience / 2)
+	refused := f.dial()
+	refused.send(0, head+"pairs")
+	status, retryAfter := refused.status()
+	is.Equal(status, http.StatusServiceUnavailable) // nobody is stalled yet
+	is.Equal(retryAfter, "1")
+	time.Sleep(pool.Patience)
+	for range 3 {
+		c := f.dial()
+		c.send(0, head+"pairs")
+		status, _ = c.status()
+		is.Equal(status, http.StatusOK)
+	}
+	for i, want := range []int{http.StatusServiceUnavailable, http.StatusServiceUnavailable, 0} {
+		status, _ = stalled[i].status()
+		is.Equal(status, want) // the last one has sent nothing that could be answered
+		rest, err := io.ReadAll(stalled[i].in)
+		is.NoErr(err)
+		is.Equal(string(rest), "")
+	}
+	is.Equal(f.served.Load(), int64(3))
+}
+
+// Guards against a request that is refused although it is served, or served although it is refused, when connections are short.
+func TestRefusalsAreTrue(t *testing.T) {
+	is := is.New(t)
+	pool := limit.PoolConfig{Clients: 10, Bytes: 200 << 10, ClientBytes: 1 << 10, RequestShare: 0.8, Patience: time.Millisecond}
+	f := newFixture(t, pool)
+	f.work = func() { time.Sleep(time.Duration(rand.IntN(3)) * time.Millisecond) }
+	var clients sync.WaitGroup
+	var answered, refused atomic.Int64
+	for range 30 {
+		clients.Go(func() {
+			for range 30 {
+				c := f.dial()
+				for status := http.StatusOK; status == http.StatusOK; {
+					body := strings.Repeat("p", rand.IntN(20<<10))
+					request := requestLine + fields(testHeaderBytes, len(body)) + body
+					cut := rand.IntN(len(request))
+					c.send(time.Duration(rand.IntN(4))*time.Millisecond, request[:cut], request[cut:])
+					status, _ = c.status()
+					switch status {
+					case http.StatusOK:
+						answered.Add(1)
+					case http.StatusServiceUnavailable, 0:
+						refused.Add(1)
+					default:
+						b, _ := io.ReadAll(c.in)
+						t.Errorf("status %d, then %q", status, b)
+					}
+					if rand.IntN(10) == 0 {
+						break
+					}
+				}
+				c.Close()
+			}
+		})
+	}
+	clients.Wait()
+	t.Logf("%d answered, %d refused, %d served", answered.Load(), refused.Load(), f.served.Load())
+	is.Equal(f.served.Load(), answered.Load())
+	is.True(answered.Load() > 0 && refused.Load() > 0)
+}
+
+// Guards against a head whose end depends on the pieces in which it arrives.
+func TestHeadScannerIgnoresPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringOfN(rapid.SampledFrom([]rune("a:\r\n")), 0, 40, -1).Draw(t, "text")
+		whole := newHeadScanner()
+		want, wantEnded := whole.scan([]byte(text))
+		pieces := newHeadScanner()
+		read, ended := 0, false
+		for read < len(text) && !ended {
+			size := rapid.IntRange(1, len(text)-read).Draw(t, "piece")
+			var n int
+			n, ended = pieces.scan([]byte(text[read : read+size]))
+			read += n
+		}
+		if read != want || ended != wantEnded || pieces != whole {
+			t.Fatalf("%q: read %d, ended %v, %+v; whole %d, %v, %+v", text, read, ended, pieces, want, wantEnded, whole)
+		}
+	})
+}
--- /dev/null
+++ b/gate/head.go
@@ -0,0 +1,38 @@
+package gate
+
+import "bytes"
+
+// headScanner finds the end of the head of a request in the bytes that arrive.
+type headScanner struct {
+	// empty is set while the present line has no bytes but a carriage return.
+	empty bool
+	// begun is set when a line that is not empty has begun; empty lines before the head do not end it.
+	begun bool
+}
+
+// scan reads further bytes. It returns the number of bytes that belong to the head, and whether they end it.
+func (s *headScanner) scan(b []byte) (int, bool) {
+	read := 0
+	for read < len(b) {
+		line, _, ended := bytes.Cut(b[read:], []byte{'\n'})
+		n := len(line)
+		if ended {
+			n++
+		}
+		if len(line) > 1 || len(line) == 1 && line[0] != '\r' {
+			s.empty, s.begun = false, true
+		}
+		read += n
+		if !ended {
+			return read, false
+		}
+		if s.empty && s.begun {
+			return read, true
+		}
+		s.empty = true
+	}
+	return read, false
+}
+
+// newHeadScanner returns a scanner at the beginning of a head.
+func newHeadScanner() headScanner { return headScanner{empty: true} }
--- a/node.go
+++ b/node.go
@@ -74,7 +74,10 @@
 	log.Info("node starting", "FailureDomain", settings.FailureDomain, "CallerAddress", settings.CallerAddress)
 	return front.Serve(ctx, &front.Runtime{
 		CallerAddress: settings.CallerAddress,
-		Server:        front.NewServer(handler, func() table.Limits { return limitsOfTable(n.Table()) }, log),
+		Server: front.NewServer(front.ServerConfig{
+			Handler: handler, Limits: func() table.Limits { return limitsOfTable(n.Table()) }, Capacity: settings.Capacity,
+			Metrics: n.Metrics(), Log: log,
+		}),
 		AuxEndpoints: []front.Endpoint{
 			{Address: settings.DirectoryAddress, Handler: p.directory(n, log)},
 			{Address: settings.ReadyAddress, Handler: p.ready(n)},
