Bound the memory of heads, and their size and time by the configuration

What callers saw: no answer, after the process had run out of memory. A request of legal size, 16 KiB with some 3,000 short header lines, takes 1 to 2 MiB when it is parsed; heads of up to 68 KiB were read too.

Cause: net/http was the only limit, with 64 KiB and 5 s a head, whatever the configuration says, and without any for all heads together.

Change: the gate counts bytes and lines of a head as they arrive, before net/http parses them, and takes the memory from the pool of the callers, 0.35 of Capacity.MemoryMB, of which requests may take three quarters. A head that finds no memory gets 503 with Retry-After, after the clients that have been slow for longest lost theirs. HeaderBytes is enforced, for the request line and for all other lines together (431), and HeaderTimeout from the first byte of the head (408 instead of a close). Before the first configuration the limit stays 64 KiB, because callers do not repeat a request after 431.

Why it works: a single head at the limit takes less than a tenth of the pool of the smallest node, so only a crowd meets the bound (TestRequestsAtTheLimits, TestHeadsAtTheLimit).

--- a/front/handler.go
+++ b/front/handler.go
@@ -82,7 +82,7 @@
 		h.logUnreadBody(r, c, err)
 	}
 	if errors.Is(err, gate.ErrRefused) {
-		h.refuse(w, r, http.StatusServiceUnavailable, "too many connections", gate.RetryAfter)
+		h.refuse(w, r, http.StatusServiceUnavailable, "too many large requests", gate.RetryAfter)
 		return
 	}
 	if status != 0 {
--- a/front/server.go
+++ b/front/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -15,13 +16,11 @@
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/gate"
 	"github.com/arbutusthread/arbutusthread/meter"
+	"github.com/arbutusthread/arbutusthread/option"
 	"github.com/arbutusthread/arbutusthread/table"
 )
 
 const (
-	// maxHeaderBytes is the limit for request headers in net/http. It does not follow the configured
-	// HeaderBytes, which is not enforced.
-	maxHeaderBytes = 64 << 10
 	// idleCheckInterval is the interval between checks for idle connections.
 	idleCheckInterval = time.Second
 	// idleGrace is added to the idle timeout so that no request of a caller that respects the timeout is in
@@ -37,7 +36,7 @@
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	Handler http.Handler
-	// Limits is called at each check for idle connections, because the limits may change.
+	// Limits is called for each request and at each check for idle connections, because the limits may change.
 	Limits func() table.Limits
 	// Capacity is that of the VM, of which callers get a share.
 	Capacity conf.Capacity
@@ -79,12 +78,12 @@
 		limits: c.Limits, log: c.Log, conns: newConnSet(h), served: make(chan struct{}), idle: make(map[net.Conn]*idleConn),
 	}
 	s.gate = gate.New(gate.Config{
-		Listener: "callers", Pool: gate.Callers.Pool(c.Capacity), Metrics: c.Metrics, Log: c.Log,
+		Listener: "callers", Pool: gate.Callers.Pool(c.Capacity), Limits: s.headLimits, Metrics: c.Metrics, Log: c.Log,
 	})
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(h, w, r) }),
-		MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: table.DefaultHeaderTimeout,
-		IdleTimeout: time.Hour, ConnState: s.trackConnState,
+		MaxHeaderBytes: math.MaxInt32, // the gate has the limit
+		IdleTimeout:    time.Hour, ConnState: s.trackConnState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return s.conns.add(s.gate.ConnContext(ctx, c), c)
 		},
@@ -93,6 +92,15 @@
 	return s
 }
 
+// headLimits returns the limits for the heads of requests.
+func (s *Server) headLimits() gate.Limits {
+	l := s.limits()
+	v := gate.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout.Std()}
+	option.Default(&v.HeaderBytes, table.DefaultHeaderBytes)
+	option.Default(&v.HeaderTimeout, table.DefaultHeaderTimeout)
+	return v
+}
+
 func (s *Server) serve(h http.Handler, w http.ResponseWriter, r *http.Request) {
 	c := connOf(r.Context())
 	c.begin()
--- a/gate/conn.go
+++ b/gate/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -33,6 +34,9 @@
 
 var (
 	tooManyConnections = &refusal{http.StatusServiceUnavailable, "too many connections", "connections", RetryAfter}
+	outOfMemory        = &refusal{http.StatusServiceUnavailable, "too many large requests", "memory", RetryAfter}
+	headTooLarge       = &refusal{http.StatusRequestHeaderFieldsTooLarge, "the headers are too large", "header_bytes", 0}
+	headTimeout        = &refusal{http.StatusRequestTimeout, "the headers did not arrive in time", "header_timeout", 0}
 )
 
 // Conn is a connection of a client.
@@ -45,8 +49,8 @@
 	head  headScanner
 	// inBody is set when the head of the request has been received.
 	inBody bool
-	// deadline is the read deadline that net/http has set.
-	deadline time.Time
+	// deadline is the read deadline that net/http has set, and headEnd that of the head, zero if it has none.
+	deadline, headEnd time.Time
 	// refusal is set when nothing more is received from the client, and told when it has been written.
 	refusal *refusal
 	told    bool
@@ -57,7 +61,10 @@
 // without a response of its own. The client has been told then, unless it has sent the whole head.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	inHead, why := c.receive(b[:n])
+	cost, inHead, why := c.receive(b[:n], errors.Is(err, os.ErrDeadlineExceeded))
+	if why == nil && cost > 0 && !c.gate.grow(c, cost) {
+		why = outOfMemory
+	}
 	if why == nil {
 		return n, err
 	}
@@ -77,18 +84,57 @@
 	return c.Conn.Write(b)
 }
 
-// receive follows what has been received. It returns whether it belongs to a head, and the reason if nothing more is received.
-func (c *Conn) receive(b []byte) (inHead bool, why *refusal) {
+// receive returns the memory that received bytes take, whether they belong to a head, and the reason if nothing more is
+// received.
+func (c *Conn) receive(b []byte, timedOut bool) (cost int, inHead bool, why *refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	inHead = !c.inBody && c.phase != limit.Serving
-	if inHead && len(b) > 0 {
-		if c.phase == limit.Idle {
-			c.enter(limit.Receiving)
-		}
-		_, c.inBody = c.head.scan(b)
+	cost = c.count(b)
+	limits := c.gate.config.Limits()
+	switch {
+	case c.refusal != nil:
+		why = c.refusal
+	case inHead && (c.head.lineBytes > limits.HeaderBytes || c.head.fieldBytes > limits.HeaderBytes):
+		why = headTooLarge
+	case inHead && timedOut && !c.headEnd.IsZero() && !time.Now().Before(c.headEnd):
+		why = headTimeout
+	}
+	return cost, inHead, why
+}
+
+// count returns the memory that received bytes take, and follows the head. The caller holds c.mu.
+func (c *Conn) count(b []byte) int {
+	if len(b) == 0 || c.phase == limit.Serving {
+		return 0
+	}
+	if c.phase == limit.Idle {
+		c.enter(limit.Receiving)
+		c.head, c.inBody = newHeadScanner(), false
+	}
+	if c.inBody {
+		return 0
+	}
+	begun, lines := c.head.begun, c.head.lines
+	n, ended := c.head.scan(b)
+	if c.head.begun && !begun && !ended {
+		c.headEnd = time.Now().Add(c.gate.config.Limits().HeaderTimeout)
+		_ = c.setDeadline()
+	}
+	cost := headFactor*n + lineBytes*(c.head.lines-lines)
+	if ended {
+		c.leaveHead()
+	}
+	return cost
+}
+
+// leaveHead removes the deadline of the head. The caller holds c.mu.
+func (c *Conn) leaveHead() {
+	c.inBody = true
+	if !c.headEnd.IsZero() {
+		c.headEnd = time.Time{}
+		_ = c.setDeadline()
 	}
-	return inHead, c.refusal
 }
 
 // enter records the phase of the connection. It reports false if the connection has been evicted. The caller holds c.mu.
@@ -104,7 +150,7 @@
 	if c.phase == limit.Idle {
 		c.enter(limit.Receiving) // the request was in the buffer of net/http
 	}
-	c.inBody = true
+	c.leaveHead()
 }
 
 // received records that the request has been received. It reports false if the request has been refused.
@@ -157,7 +203,7 @@
 	}
 }
 
-// SetReadDeadline sets the read deadline, unless nothing more is received.
+// SetReadDeadline sets the read deadline, which does not extend that of the head.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -168,6 +214,9 @@
 // setDeadline sets the read deadline of the connection. The caller holds c.mu.
 func (c *Conn) setDeadline() error {
 	t := c.deadline
+	if !c.headEnd.IsZero() && (t.IsZero() || c.headEnd.Before(t)) {
+		t = c.headEnd
+	}
 	if c.refusal != nil {
 		t = time.Unix(1, 0)
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -1,5 +1,6 @@
-// Package gate bounds what the clients of HTTP listeners may use. When the connections are used up, clients that are slow to
-// complete a request lose theirs first.
+// Package gate bounds what the clients of HTTP listeners may use: the memory of heads, and the number of
+// connections. It counts the bytes of requests as they arrive, before net/http parses them, because a parsed head takes many
+// times its size. When the memory is used up, clients that are slow to complete a request lose their connection first.
 package gate
 
 import (
@@ -20,6 +21,10 @@
 const (
 	// clientBytes is the memory of a connection without a request: its goroutine, its buffers and those of the kernel.
 	clientBytes = 64 << 10
+	// headFactor is the memory of a byte of a head, and lineBytes that of a parsed line, of which the maps of the request and of
+	// the forwarded headers have an entry each.
+	headFactor = 3
+	lineBytes  = 512
 	// requestShare is the share of the memory that requests may take. The rest is for connections, so that there is room for
 	// small requests when large ones have taken theirs.
 	requestShare = 0.75
@@ -60,11 +65,21 @@
 	}
 }
 
+// Limits are the limits of a single request.
+type Limits struct {
+	// HeaderBytes is the maximum size of the request line, and of all other lines of the head together.
+	HeaderBytes int
+	// HeaderTimeout is the time in which the head of a request must arrive, from its first byte.
+	HeaderTimeout time.Duration
+}
+
 // Config configures a Gate.
 type Config struct {
 	// Listener names the listener in logs and metrics.
 	Listener string
 	Pool     limit.PoolConfig
+	// Limits is called for each request, because the limits may change.
+	Limits func() Limits
 	// Metrics may be nil.
 	Metrics *meter.Metrics
 	Log     *slog.Logger
@@ -141,6 +156,15 @@
 	}
 }
 
+// grow adds to the memory of the request on a connection and reports whether there is room for it.
+func (g *Gate) grow(c *Conn, bytes int) bool {
+	g.mu.Lock()
+	victims, ok := g.pool.Grow(time.Now(), c, int64(bytes))
+	g.mu.Unlock()
+	g.evict(victims, outOfMemory)
+	return ok
+}
+
 // enter records the phase of a connection. It reports false if the connection has been evicted.
 func (g *Gate) enter(c *Conn, phase limit.Phase) bool {
 	g.mu.Lock()
@@ -214,9 +238,9 @@
 	return nil
 }
 
-// ErrRefused is the error of reads from a connection whose request cannot be received, because there is no room for it.
+// ErrRefused is the error of reads from a connection whose request cannot be received, because there is no memory for it.
 // The request has not run.
-var ErrRefused = errors.New("gate: no room for the request")
+var ErrRefused = errors.New("gate: no memory for the request")
 
 // RetryAfter is the time after which a client that got ErrRefused may come back.
 const RetryAfter = patience
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -26,8 +26,9 @@
 const (
 	// testTimeout ends a test that hangs.
 	testTimeout = 20 * time.Second
-	// testHeaderBytes is the size of the heads in the tests.
-	testHeaderBytes = 1 << 10
+	// testHeaderBytes and testHeaderTimeout are the limits of heads in the tests.
+	testHeaderBytes   = 1 << 10
+	testHeaderTimeout = time.Second
 )
 
 // roomyPool has room for all that a test sends.
@@ -45,7 +46,9 @@
 
 func newFixture(t *testing.T, pool limit.PoolConfig) *fixture {
 	f := &fixture{T: t}
-	g := New(Config{Listener: "test", Pool: pool, Log: slog.New(slog.DiscardHandler)})
+	g := New(Config{Listener: "test", Pool: pool, Log: slog.New(slog.DiscardHandler), Limits: func() Limits {
+		return Limits{HeaderBytes: testHeaderBytes, HeaderTimeout: testHeaderTimeout}
+	}})
 	server := httptest.NewUnstartedServer(http.HandlerFunc(f.serve))
 	server.Listener = g.Listener(server.Listener)
 	server.Config.ConnState, server.Config.ConnContext = g.ConnState, g.ConnContext
@@ -121,6 +124,7 @@
 func ExampleGate() {
 	g := New(Config{
 		Listener: "directory", Pool: Directory.Pool(conf.Capacity{MemoryMB: 256, Descriptors: 4096}), Log: slog.Default(),
+		Limits: func() Limits { return Limits{HeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second} },
 	})
 	server := http.Server{Handler: http.NotFoundHandler(), ConnState: g.ConnState, ConnContext: g.ConnContext}
 	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -139,6 +143,58 @@
 	// Output: 404 Not Found <nil>
 }
 
+// Guards against a request at the limits that is refused, whole or in pieces, on a new connection and on a kept one, and
+// against one above them that is served.
+func TestHeadsAtTheLimit(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, roomyPool)
+	line := "POST /" + strings.Repeat("p", testHeaderBytes-len("POST / HTTP/1.1\r\n")) + " HTTP/1.1\r\n"
+	largest := fields(testHeaderBytes, 5)
+	for _, pieces := range [][]string{
+		{line + largest + "pairs"},
+		{line, largest, "pairs"},
+		strings.SplitAfter(line+largest+"pairs", "pppppppp"),
+		{requestLine + largest + "\n\n\r\n\n"},
+	} {
+		c := f.dial()
+		for range 3 {
+			c.send(100*time.Microsecond, pieces...)
+			status, _ := c.status()
+			is.Equal(status, http.StatusOK)
+		}
+	}
+	for _, request := range []string{requestLine + fields(testHeaderBytes+1, 0), strings.Replace(line, "/", "/p", 1) + largest} {
+		c := f.dial()
+		c.send(0, requestLine+fields(100, 0))
+		status, _ := c.status()
+		is.Equal(status, http.StatusOK)
+		c.send(0, request)
+		status, _ = c.status()
+		is.Equal(status, http.StatusRequestHeaderFieldsTooLarge)
+	}
+}
+
+// Guards against a slow head that is refused before its timeout, on a new connection and on a kept one, and against one that
+// holds its connection for longer.
+func TestSlowHeads(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, roomyPool)
+	head := requestLine + fields(100, 0)
+	c := f.dial()
+	for range 2 {
+		time.Sleep(testHeaderTimeout) // the time before the head does not count
+		c.send(testHeaderTimeout*7/10, head[:5], head[5:])
+		status, _ := c.status()
+		is.Equal(status, http.StatusOK)
+	}
+	c.send(0, head[:5])
+	begin := time.Now()
+	status, _ := c.status()
+	is.Equal(status, http.StatusRequestTimeout)
+	is.True(time.Since(begin) >= testHeaderTimeout*9/10)
+	is.Equal(f.served.Load(), int64(2))
+}
+
 // Guards against clients that keep others out: with a request that does not end, or without any.
 func TestStalledClientsGiveWay(t *testing.T) {
 	is := is.New(t)
@@ -172,10 +228,10 @@
 	is.Equal(f.served.Load(), int64(3))
 }
 
-// Guards against a request that is refused although it is served, or served although it is refused, when connections are short.
+// Guards against a request that is refused although it is served, or served although it is refused, when memory is short.
 func TestRefusalsAreTrue(t *testing.T) {
 	is := is.New(t)
-	pool := limit.PoolConfig{Clients: 10, Bytes: 200 << 10, ClientBytes: 1 << 10, RequestShare: 0.8, Patience: time.Millisecond}
+	pool := limit.PoolConfig{Clients: 20, Bytes: 60 << 10, ClientBytes: 1 << 10, RequestShare: 0.8, Patience: time.Millisecond}
 	f := newFixture(t, pool)
 	f.work = func() { time.Sleep(time.Duration(rand.IntN(3)) * time.Millisecond) }
 	var clients sync.WaitGroup
--- a/gate/head.go
+++ b/gate/head.go
@@ -2,8 +2,10 @@
 
 import "bytes"
 
-// headScanner finds the end of the head of a request in the bytes that arrive.
+// headScanner finds the end of the head of a request in the bytes that arrive, and counts its lines and bytes.
 type headScanner struct {
+	// lines is the number of lines that have ended. lineBytes is the size of the first line, and fieldBytes that of all others.
+	lines, lineBytes, fieldBytes int
 	// empty is set while the present line has no bytes but a carriage return.
 	empty bool
 	// begun is set when a line that is not empty has begun; empty lines before the head do not end it.
@@ -22,6 +24,11 @@
 		if len(line) > 1 || len(line) == 1 && line[0] != '\r' {
 			s.empty, s.begun = false, true
 		}
+		if s.lines == 0 {
+			s.lineBytes += n
+		} else {
+			s.fieldBytes += n
+		}
 		read += n
 		if !ended {
 			return read, false
@@ -30,6 +37,7 @@
 			return read, true
 		}
 		s.empty = true
+		s.lines++
 	}
 	return read, false
 }
--- a/node.go
+++ b/node.go
@@ -114,9 +114,13 @@
 	}, nil
 }
 
+// firstHeaderBytes is the limit for the head of a request before the first configuration. It is generous because callers do
+// not repeat a request whose head is too large.
+const firstHeaderBytes = 64 << 10
+
 func limitsOfTable(t *table.Table) table.Limits {
 	if t == nil {
-		return table.Limits{}
+		return table.Limits{HeaderBytes: firstHeaderBytes}
 	}
 	return t.Config().Limits
 }
