Bound the memory of the bodies of callers

What callers saw: no answer, after the process had run out of memory.

Cause: a body may have 256 KiB, and nothing bounded the bodies of all connections together, nor the time for which an unfinished one was kept.

Change: the bytes of bodies count against the memory of the callers' pool as they arrive, twice, because the buffer grows while it is read.

--- a/gate/conn.go
+++ b/gate/conn.go
@@ -113,7 +113,7 @@
 		c.head, c.inBody = newHeadScanner(), false
 	}
 	if c.inBody {
-		return 0
+		return bodyFactor * len(b)
 	}
 	begun, lines := c.head.begun, c.head.lines
 	n, ended := c.head.scan(b)
@@ -121,7 +121,7 @@
 		c.headEnd = time.Now().Add(c.gate.config.Limits().HeaderTimeout)
 		_ = c.setDeadline()
 	}
-	cost := headFactor*n + lineBytes*(c.head.lines-lines)
+	cost := headFactor*n + lineBytes*(c.head.lines-lines) + bodyFactor*(len(b)-n)
 	if ended {
 		c.leaveHead()
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -1,4 +1,4 @@
-// Package gate bounds what the clients of HTTP listeners may use: the memory of heads, and the number of
+// Package gate bounds what the clients of HTTP listeners may use: the memory of heads and bodies, and the number of
 // connections. It counts the bytes of requests as they arrive, before net/http parses them, because a parsed head takes many
 // times its size. When the memory is used up, clients that are slow to complete a request lose their connection first.
 package gate
@@ -21,9 +21,10 @@
 const (
 	// clientBytes is the memory of a connection without a request: its goroutine, its buffers and those of the kernel.
 	clientBytes = 64 << 10
-	// headFactor is the memory of a byte of a head, and lineBytes that of a parsed line, of which the maps of the request and of
-	// the forwarded headers have an entry each.
+	// headFactor and bodyFactor are the memory of a byte of a head and of a body, and lineBytes that of a parsed line, of which
+	// the maps of the request and of the forwarded headers have an entry each.
 	headFactor = 3
+	bodyFactor = 2
 	lineBytes  = 512
 	// requestShare is the share of the memory that requests may take. The rest is for connections, so that there is room for
 	// small requests when large ones have taken theirs.
