Refuse a request whose body has not arrived by its deadline

What callers saw: nothing. A request with an unfinished body got no answer, on routes that exist and on those that do not, and one that announced a body above the limit got none until it had sent 256 KiB. Its connection stayed open for as long as the client wanted.

Cause: bodies had no read deadline. net/http reads the rest of a body before it writes an answer that does not close the connection, also of a request that has been refused, and waits for it without limit.

Evidence: TestUnfinishedBodies, no answer in any of its three cases after 20 s before; 408, 404 and 413 after.

Change: a body must arrive by the deadline of its request, else the answer is 408: the request has not run. A request that is refused for another reason gets its answer when its body has arrived, after half a second at the latest.

TestStopLogsWhatItCutsOff held a request with an unfinished body until after its deadline of a second, which gets 408 now. It has another route, whose deadline is after the abort; the expected lines differ in the name of the route only. A body that is cut before its deadline is still logged as a warning (TestUnreadBodyNamesWhoClosed).

--- a/front/handler.go
+++ b/front/handler.go
@@ -54,6 +54,9 @@
 // NewHandler returns a Handler.
 func NewHandler(c Config) *Handler { return &Handler{config: c} }
 
+// unreadBodyTime is the time that callers have to send the rest of the body of a request that has been refused.
+const unreadBodyTime = 500 * time.Millisecond
+
 // notReadyRetryAfter is the Retry-After time of a node that has no configuration yet.
 const notReadyRetryAfter = 500 * time.Millisecond
 
@@ -74,22 +77,17 @@
 		return
 	}
 	c.update(func(o *openRequest) { o.route = route.Name })
-	body, status, err := readBody(w, r, t.Config().Limits)
-	if status == 0 {
-		err = gate.Received(r.Context())
-	}
+	deadline := route.Deadline(started, h.callerTimeout(r))
+	body, status, err := h.receive(w, r, t.Config().Limits, deadline)
 	if err != nil {
-		h.logUnreadBody(r, c, err)
-	}
-	if errors.Is(err, gate.ErrRefused) {
-		h.refuse(w, r, http.StatusServiceUnavailable, "too many large requests", gate.RetryAfter)
+		h.refuseUnread(w, r, deadline, err)
 		return
 	}
 	if status != 0 {
-		h.refuse(w, r, status, "the request cannot be read", 0)
+		h.refuse(w, r, status, "the body is too large", 0)
 		return
 	}
-	q := h.newRequest(r, route, body, started)
+	q := h.newRequest(r, route, body, started, deadline)
 	q.Version = t.Config().Version
 	c.update(func(o *openRequest) { o.phase, o.backend, o.query = serving, h.config.Backend, q })
 	out, err := h.config.Backend.Serve(r.Context(), q)
@@ -122,16 +120,45 @@
 		"Duration", time.Since(started), "ClosedBy", closed.by, "Cause", closed.cause)
 }
 
-// logUnreadBody logs that the body of a request cannot be read. The node sets no read deadline for bodies, so that a
-// timeout is that of the close of an idle connection.
-func (h *Handler) logUnreadBody(r *http.Request, c *callerConn, err error) {
-	closed := c.closedBy()
+// receive reads the body of a request until the deadline, and records that the request is complete. It returns what readBody
+// returns.
+func (h *Handler) receive(w http.ResponseWriter, r *http.Request, l table.Limits, deadline time.Time) ([]byte, int, error) {
+	if r.Body != nil && r.Body != http.NoBody {
+		setReadDeadline(w, deadline)
+		defer setReadDeadline(w, time.Time{})
+	}
+	body, status, err := readBody(w, r, l)
+	if status == 0 {
+		err = gate.Received(r.Context())
+	}
+	return body, status, err
+}
+
+// refuseUnread refuses a request whose body cannot be read: with 503 if there is no memory for it, with 408 if it has not
+// arrived by the deadline of the request, and otherwise with 400. A timeout before the deadline is that of the close of an
+// idle connection.
+func (h *Handler) refuseUnread(w http.ResponseWriter, r *http.Request, deadline time.Time, err error) {
+	closed := connOf(r.Context()).closedBy()
 	level := slog.LevelInfo
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(deadline) {
 		level = slog.LevelWarn
 	}
 	h.config.Log.Log(r.Context(), level, "failed to read request body", "RequestId", r.Header.Get(h.config.Headers.RequestID),
 		"Error", err, "ClosedBy", closed.by, "Cause", closed.cause)
+	switch {
+	case errors.Is(err, gate.ErrRefused):
+		h.refuse(w, r, http.StatusServiceUnavailable, "too many large requests", gate.RetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		h.refuse(w, r, http.StatusRequestTimeout, "the body did not arrive in time", 0)
+	default:
+		h.refuse(w, r, http.StatusBadRequest, "the request cannot be read", 0)
+	}
+}
+
+// setReadDeadline sets the read deadline of the connection of a request, which has none if it is zero.
+func setReadDeadline(w http.ResponseWriter, t time.Time) {
+	// A connection without deadlines is one of a test.
+	_ = http.NewResponseController(w).SetReadDeadline(t)
 }
 
 // requestEndOf returns how a request with this outcome ends.
@@ -146,14 +173,19 @@
 	}
 }
 
-func (h *Handler) newRequest(r *http.Request, route *table.Route, body []byte, now time.Time) *node.Request {
-	names := &h.config.Headers
-	var callerTimeout time.Duration
-	if ms, err := strconv.ParseInt(r.Header.Get(names.Timeout), 10, 32); err == nil && ms > 0 {
-		callerTimeout = time.Duration(ms) * time.Millisecond
+// callerTimeout returns the time for which the caller waits, or 0 if it does not tell.
+func (h *Handler) callerTimeout(r *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get(h.config.Headers.Timeout), 10, 32)
+	if err != nil || ms < 0 {
+		return 0
 	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+func (h *Handler) newRequest(r *http.Request, route *table.Route, body []byte, now, deadline time.Time) *node.Request {
+	names := &h.config.Headers
 	q := &node.Request{
-		Route: route, Deadline: route.Deadline(now, callerTimeout).Add(-responseMargin),
+		Route: route, Deadline: deadline.Add(-responseMargin),
 		Forward: back.Forward{
 			Method: r.Method, URI: r.RequestURI, Host: r.Host, Body: body,
 			RequestID: r.Header.Get(names.RequestID), Header: forwardHeader(r.Header, names),
@@ -216,6 +248,7 @@
 	if r.ContentLength > limit {
 		// A caller whose connection is closed while it writes does not see the response, so read up to the
 		// limit first.
+		setReadDeadline(w, time.Now().Add(unreadBodyTime))
 		_, _ = io.CopyN(io.Discard, r.Body, limit)
 		return nil, http.StatusRequestEntityTooLarge, nil
 	}
@@ -236,6 +269,10 @@
 // refuse writes the error response to a request that has not run.
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, status int, reason string, retryAfter time.Duration) {
 	connOf(r.Context()).update(func(o *openRequest) { o.phase, o.end = writing, endRefused })
+	if r.Body != nil && r.Body != http.NoBody {
+		// net/http reads the rest of the body before it writes the response.
+		setReadDeadline(w, time.Now().Add(unreadBodyTime))
+	}
 	if retryAfter > 0 {
 		w.Header().Set("Retry-After", formatSeconds(retryAfter))
 	}
--- a/front/serve_test.go
+++ b/front/serve_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -273,3 +275,32 @@
 	is.True(err != nil)
 	is.True(time.Since(begin) > 1800*time.Millisecond+idleGrace)
 }
+
+// Guards against a request whose body does not arrive and that holds its connection for as long as its caller wants, and
+// against one that is refused only when its body has arrived.
+func TestUnfinishedBodies(t *testing.T) {
+	f, s := newLedgerFixture(t, fake.RoutedConfig{})
+	for _, x := range []struct {
+		uri    string
+		length int
+		status int
+	}{
+		{"/order/x", 100, http.StatusRequestTimeout},
+		{"/unknown/x", 100, http.StatusNotFound},
+		{"/order/x", table.DefaultBodyBytes + 1, http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(x.uri+" "+strconv.Itoa(x.length), func(t *testing.T) {
+			is := is.New(t)
+			c, in := f.dial(f.nodes[0])
+			fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: ledger.example\r\nRequest-Id: r\r\nContent-Length: %d\r\n\r\npairs", x.uri, x.length)
+			_ = c.SetReadDeadline(time.Now().Add(waitTimeout))
+			a, last, err := readResponse(in)
+			is.NoErr(err)
+			is.Equal(a.status, x.status)
+			is.True(last)
+			_, err = in.ReadByte()
+			is.Equal(err, io.EOF)
+		})
+	}
+	is.New(t).Equal(len(s.Runs()), 0)
+}
--- a/front/stoplog_test.go
+++ b/front/stoplog_test.go
@@ -150,7 +150,7 @@
 	n := startLogged(f, func(time.Time) {})
 	f.request(n, http.MethodGet, "at-server", "/payment/x")
 	f.waitFor("the server runs the request", func() bool { return len(s.Runs()) == 1 })
-	f.request(n, http.MethodPost, "body", "/order/x")
+	f.request(n, http.MethodPost, "body", "/payment/x")
 	f.request(n, http.MethodGet, "writing", "/lookup/large")
 	f.dial(n.runningNode)
 	f.waitFor("each is in its phase", func() bool {
--- a/front/writer.go
+++ b/front/writer.go
@@ -17,6 +17,9 @@
 	begun bool
 }
 
+// Unwrap returns the writer below, for http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // WriteHeader sends the status and the headers.
 func (w *responseWriter) WriteHeader(status int) {
 	w.begun = true
