Do not close a connection as idle while the head of a request arrives

What callers saw: a closed connection instead of an answer, when they sent a head within its timeout but the idle timeout of the kept connection passed meanwhile.

Cause: net/http reports a connection as active when it has the whole head, so that front counted the time of a slow head as idle time. It cannot see the bytes that net/http has read.

Evidence: TestSlowHeadOnIdleConnection, unexpected EOF before, answered after.

Change: the check for idle connections passes over one on which a head has begun, by what the gate has seen. The timeout of the head ends it.

--- a/front/serve_test.go
+++ b/front/serve_test.go
@@ -304,3 +304,27 @@
 	}
 	is.New(t).Equal(len(s.Runs()), 0)
 }
+
+// Guards against a connection that is closed as idle while the head of a request is arriving.
+func TestSlowHeadOnIdleConnection(t *testing.T) {
+	is := is.New(t)
+	s := NewServer(ServerConfig{Handler: http.NotFoundHandler(), Limits: func() table.Limits {
+		return table.Limits{IdleTimeout: wire.Duration(time.Second)}
+	}, Log: nopLog})
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = s.Serve(t.Context(), l) }()
+	c, err := new(net.Dialer).DialContext(t.Context(), "tcp", l.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for range 2 {
+		time.Sleep(800 * time.Millisecond)
+		fmt.Fprint(c, "GET / HTTP/1.1\r\n")
+		time.Sleep(table.DefaultHeaderTimeout * 8 / 10)
+		fmt.Fprint(c, "Host: x\r\n\r\n")
+		a, _, err := readResponse(in)
+		is.NoErr(err)
+		is.Equal(a.status, http.StatusNotFound)
+	}
+}
--- a/front/server.go
+++ b/front/server.go
@@ -227,6 +227,9 @@
 		if now.Sub(k.since) <= most {
 			continue
 		}
+		if v, ok := c.(*gate.Conn); ok && !v.IsIdle() {
+			continue // the head of a request is arriving, for which it has a timeout of its own
+		}
 		s.conns.setCloseCause(c, s.draining.Load())
 		if !hasUnreadData(c) {
 			// net/http closes the connection when its read of the next request times out. Closing the
