Bound the clients of the directory and of the operators' listeners

What callers saw: no answer, after the process had run out of memory or descriptors through a listener that is not for them.

Cause: the listeners of the directory, readiness, operators and metrics had net/http's 1 MiB as the limit of a head, no limit for connections, and no timeout for bodies and idle connections.

Change: the directory has a gate, and the three listeners for operators share another, each with 0.05 of the memory and of the descriptors, 16 KiB a head, and 5 s a request; idle connections close after 90 s. A crowd at one of them takes nothing from callers, and a crowd at the directory nothing from operators. The test now also asks that an ordinary request to the same listener is answered beside the crowd.

--- a/crowd_test.go
+++ b/crowd_test.go
@@ -149,14 +149,14 @@
 	unfinished := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(largestBody), largestBody[1:])
 	large := shortLines(60<<10) + "\r\n"
 	for i, x := range []struct {
-		name, path string
-		address    func(*conf.Settings) netip.AddrPort
+		name, path, ordinary string
+		address              func(*conf.Settings) netip.AddrPort
 	}{
-		{"directory", "/v1/addresses?host=ledger.example", func(s *conf.Settings) netip.AddrPort { return s.DirectoryAddress }},
-		{"ready", "/ready", func(s *conf.Settings) netip.AddrPort { return s.ReadyAddress }},
-		{"operators", "/ops/status", func(s *conf.Settings) netip.AddrPort { return s.OpsAddress }},
-		{"metrics", "/metrics", func(s *conf.Settings) netip.AddrPort { return s.MetricsAddress }},
-		{"peers", "/peer/gather", func(s *conf.Settings) netip.AddrPort { return s.PeerAddress }},
+		{"directory", "/v1/addresses?host=ledger.example", "/v1/addresses?host=ledger.example", func(s *conf.Settings) netip.AddrPort { return s.DirectoryAddress }},
+		{"ready", "/ready", "/ready", func(s *conf.Settings) netip.AddrPort { return s.ReadyAddress }},
+		{"operators", "/ops/status", "/ops/status", func(s *conf.Settings) netip.AddrPort { return s.OpsAddress }},
+		{"metrics", "/metrics", "/metrics", func(s *conf.Settings) netip.AddrPort { return s.MetricsAddress }},
+		{"peers", "/peer/gather", "/peer/members", func(s *conf.Settings) netip.AddrPort { return s.PeerAddress }},
 	} {
 		for k, y := range []struct {
 			name string
@@ -173,7 +173,7 @@
 		} {
 			t.Run(x.name+", "+y.name, func(t *testing.T) {
 				w, n := newCrowdNode(t, binary, byte(150+4*i+k))
-				y.address = x.address
+				y.address, y.ordinary = x.address, x.ordinary
 				y.play(w, n)
 			})
 		}
--- a/crowd_world_test.go
+++ b/crowd_world_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"cmp"
 	"fmt"
@@ -59,6 +60,8 @@
 	endless bool
 	// unread is set if the clients do not read the answers.
 	unread bool
+	// ordinary is the path of an ordinary request to the listener.
+	ordinary string
 }
 
 // newCrowdNode starts a node with the capacity of the tests, and returns it when it answers.
@@ -101,6 +104,28 @@
 	w.Errorf("no answer to an ordinary request; the last one ended with status %d: %v", x.status, x.err)
 }
 
+// awaitAnswerAt sends an ordinary request to another listener until it is answered, with any status but that of a node without
+// room. The listener for other nodes answers a request without a signature with 401.
+func (w *stopWorld) awaitAnswerAt(address netip.AddrPort, path string) {
+	w.Helper()
+	status := 0
+	for end := time.Now().Add(ordinaryTime); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		c, err := net.DialTimeout("tcp", address.String(), time.Second) //nolint:noctx // has a timeout
+		if err != nil {
+			continue
+		}
+		_ = c.SetDeadline(time.Now().Add(callTime))
+		_, _ = io.WriteString(c, headOf(http.MethodGet, path, 0, "Fleet-Protocol: 1\r\n\r\n"))
+		x := &exchange{}
+		x.read(bufio.NewReader(c))
+		c.Close()
+		if status = x.status; status > 0 && status != http.StatusServiceUnavailable {
+			return
+		}
+	}
+	w.Errorf("no answer to an ordinary request to %s%s; the last one has status %d", address, path, status)
+}
+
 // play lets the crowd loose on a node and checks that the process lives within the capacity of its VM, and that an ordinary
 // request is answered while the crowd stays connected.
 func (v *crowd) play(w *stopWorld, n *stopNode) {
@@ -138,6 +163,9 @@
 		most = max(most, n.descriptors())
 	}
 	w.awaitAnswer(n)
+	if v.ordinary != "" {
+		w.awaitAnswerAt(address, v.ordinary)
+	}
 	most = max(most, n.descriptors())
 	select {
 	case <-n.done:
--- a/front/run.go
+++ b/front/run.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
-	"github.com/arbutusthread/arbutusthread/clock"
-
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/arbutusthread/arbutusthread/clock"
+	"github.com/arbutusthread/arbutusthread/gate"
+	"github.com/arbutusthread/arbutusthread/limit"
+	"github.com/arbutusthread/arbutusthread/meter"
 )
 
 const (
@@ -26,15 +30,26 @@
 	abortShare  = 0.97
 	// defaultStopTime is used if the settings specify no stop time.
 	defaultStopTime = 10 * time.Second
-	// auxTimeout is the timeout for reading the headers of a request to an auxiliary endpoint, and for
-	// writing its response.
-	auxTimeout = 5 * time.Second
+	// auxTimeout is the timeout for reading a request to an auxiliary endpoint, and for writing its response.
+	// auxIdleTimeout is the time for which a connection without a request stays open.
+	auxTimeout        = 5 * time.Second
+	auxIdleTimeout    = 90 * time.Second
+	maxAuxHeaderBytes = 16 << 10
 )
 
 // Endpoint is a handler with a separate listen address.
 type Endpoint struct {
 	Address netip.AddrPort
 	Handler http.Handler
+	// Gate bounds the clients. Endpoints may share it.
+	Gate *gate.Gate
+}
+
+// NewAuxGate returns a Gate for auxiliary endpoints. The metrics may be nil.
+func NewAuxGate(name string, pool limit.PoolConfig, metrics *meter.Metrics, log *slog.Logger) *gate.Gate {
+	return gate.New(gate.Config{Listener: name, Pool: pool, Metrics: metrics, Log: log, Limits: func() gate.Limits {
+		return gate.Limits{HeaderBytes: maxAuxHeaderBytes, HeaderTimeout: auxTimeout}
+	}})
 }
 
 // Runtime is a node with its listeners.
@@ -75,7 +90,7 @@
 			cancel()
 			return errors.CombineErrors(err, group.Wait())
 		}
-		group.Go(func() error { return serveAux(runCtx, l, e.Handler) })
+		group.Go(func() error { return serveAux(runCtx, l, &e) })
 	}
 	group.Go(func() error { return r.Run(runCtx) })
 	group.Go(func() error { return r.Server.Serve(runCtx, callers) })
@@ -134,11 +149,15 @@
 	}
 }
 
-func serveAux(ctx context.Context, l net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: auxTimeout, WriteTimeout: auxTimeout}
+func serveAux(ctx context.Context, l net.Listener, e *Endpoint) error {
+	s := &http.Server{
+		Handler: e.Handler, MaxHeaderBytes: math.MaxInt32, // the gate has the limit
+		ReadTimeout: auxTimeout, WriteTimeout: auxTimeout, IdleTimeout: auxIdleTimeout,
+		ConnState: e.Gate.ConnState, ConnContext: e.Gate.ConnContext,
+	}
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(e.Gate.Listener(l)); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrapf(err, "front: serve on %s", l.Addr())
 	}
 	return nil
--- a/node.go
+++ b/node.go
@@ -9,6 +9,7 @@
 
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/front"
+	"github.com/arbutusthread/arbutusthread/gate"
 	"github.com/arbutusthread/arbutusthread/logs"
 	"github.com/arbutusthread/arbutusthread/node"
 	"github.com/arbutusthread/arbutusthread/plat"
@@ -71,6 +72,8 @@
 	handler := front.NewHandler(front.Config{
 		Backend: n, Headers: p.headers, Cores: settings.Capacity.Cores, Metrics: n.Metrics(), Log: log,
 	})
+	directoryGate := front.NewAuxGate("directory", gate.Directory.Pool(settings.Capacity), n.Metrics(), log)
+	operatorsGate := front.NewAuxGate("operators", gate.Operators.Pool(settings.Capacity), n.Metrics(), log)
 	log.Info("node starting", "FailureDomain", settings.FailureDomain, "CallerAddress", settings.CallerAddress)
 	return front.Serve(ctx, &front.Runtime{
 		CallerAddress: settings.CallerAddress,
@@ -79,10 +82,10 @@
 			Metrics: n.Metrics(), Log: log,
 		}),
 		AuxEndpoints: []front.Endpoint{
-			{Address: settings.DirectoryAddress, Handler: p.directory(n, log)},
-			{Address: settings.ReadyAddress, Handler: p.ready(n)},
-			{Address: settings.OpsAddress, Handler: front.OpsHandler(n, log)},
-			{Address: settings.MetricsAddress, Handler: front.OpsHandler(n, log)},
+			{Address: settings.DirectoryAddress, Handler: p.directory(n, log), Gate: directoryGate},
+			{Address: settings.ReadyAddress, Handler: p.ready(n), Gate: operatorsGate},
+			{Address: settings.OpsAddress, Handler: front.OpsHandler(n, log), Gate: operatorsGate},
+			{Address: settings.MetricsAddress, Handler: front.OpsHandler(n, log), Gate: operatorsGate},
 		},
 		Run: n.Run, Leave: n.Leave, StopTime: n.StopTime, Log: log,
 	})
