Bound the clients of the listener for other nodes

What callers saw: no answer, after the process had run out of memory or descriptors through the listener for other nodes.

Cause: a signature is checked when the whole request has been read, 20 KiB of head and 4 MiB of body, on any number of connections, from anybody who reaches the port.

The gate is above TLS, so that it sees the heads there too. Datagrams were looked at and left: their size, their rate and the state of their limiter are bounded already.

--- a/node/node.go
+++ b/node/node.go
@@ -125,7 +125,7 @@
 			Address: s.PeerAddress, Caller: s.CallerAddress, FailureDomain: s.FailureDomain, Region: s.Region,
 			Weight: s.Capacity.Weight(), Millicores: s.Capacity.Millicores(),
 		},
-		Keys: s.Keys(), Heartbeat: heartbeatInterval, OnEvent: n.handleEvent, Log: c.Log,
+		Keys: s.Keys(), Heartbeat: heartbeatInterval, OnEvent: n.handleEvent, Capacity: s.Capacity, Metrics: n.metrics, Log: c.Log,
 		Handlers: peer.Handlers{Feed: n.feedSince, FeedPosition: n.position, ApplyFeed: n.applyPeerDelta, Gather: n.serveRelay},
 	})
 	if err != nil {
--- a/peer/config.go
+++ b/peer/config.go
@@ -7,8 +7,10 @@
 	"log/slog"
 	"time"
 
+	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/meter"
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
 )
@@ -30,6 +32,10 @@
 	// OnEvent is called for each event of the state machine, in order, from one goroutine. Lease expiry times are
 	// wall clock times, comparable with time.Now.
 	OnEvent func(fleet.Event)
+	// Capacity is that of the VM, of which other nodes get a share.
+	Capacity conf.Capacity
+	// Metrics may be nil.
+	Metrics *meter.Metrics
 	Log     *slog.Logger
 	Limits  Limits
 }
--- a/peer/node.go
+++ b/peer/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/gate"
 	"github.com/arbutusthread/arbutusthread/panics"
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
@@ -33,6 +34,7 @@
 	socket      *net.UDPConn
 	listener    net.Listener
 	server      *http.Server
+	gate        *gate.Gate
 	conns       activeConns
 	counters    counters
 	pullPermits chan struct{}
@@ -66,6 +68,7 @@
 	}
 	n.fleet = fleet.New(fleet.Config{Member: c.Member, Start: n.clock.base, Codec: c.Codec, Heartbeat: c.Heartbeat}, n.clock.base)
 	n.Client = newClient(c)
+	n.gate = newGate(c)
 	n.server = newServer(n)
 	return n, nil
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +15,7 @@
 
 	"github.com/arbutusthread/arbutusthread/feed"
 	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/gate"
 	"github.com/arbutusthread/arbutusthread/wire"
 	"github.com/cockroachdb/errors"
 
@@ -51,26 +53,36 @@
 		return queryFleet(n, func(_ time.Time, f *fleet.Node) fleet.Table { return f.Table() }), nil
 	}))
 	return &http.Server{
-		Handler: mux, TLSConfig: n.config.ServerTLS, MaxHeaderBytes: maxHeaderBytes,
+		Handler: mux, MaxHeaderBytes: math.MaxInt32, // the gate has the limit
 		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: serverIdleTimeout,
-		ConnState: n.conns.track,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			n.gate.ConnState(c, state)
+			n.conns.track(c, state)
+		},
+		ConnContext: n.gate.ConnContext,
 		// An empty map disables HTTP/2. With one request at a time on a connection, the client can determine
 		// whether bytes of a request were written.
 		TLSNextProto: make(map[string]func(*http.Server, *tls.Conn, http.Handler)),
 	}
 }
 
+func newGate(c Config) *gate.Gate {
+	return gate.New(gate.Config{
+		Listener: "peers", Pool: gate.Peers.Pool(c.Capacity), Metrics: c.Metrics, Log: c.Log,
+		Limits: func() gate.Limits { return gate.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: readHeaderTimeout} },
+	})
+}
+
 func sliceDeadline(q wire.SliceQuery) time.Time     { return q.Deadline }
 func orderDeadline(o wire.OrderRelay) time.Time     { return o.Deadline }
 func executeDeadline(e wire.ExecuteOrder) time.Time { return e.Deadline }
 
 func (n *Node) serveHTTP() error {
-	var err error
+	l := n.listener
 	if n.config.ServerTLS != nil {
-		err = n.server.ServeTLS(n.listener, "", "")
-	} else {
-		err = n.server.Serve(n.listener)
+		l = tls.NewListener(l, n.config.ServerTLS)
 	}
+	err := n.server.Serve(n.gate.Listener(l))
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
@@ -159,6 +171,9 @@
 		}
 		return nil, n.refuse(wire.StepDecode, wire.ReasonBadRequest, "read request body: %v", err)
 	}
+	if err := gate.Received(r.Context()); err != nil {
+		return nil, n.refuse(wire.StepDecode, wire.ReasonOverload, "%v", err)
+	}
 	err := verifyRequest(n.config.Keys, time.Now(), r.Header.Get(wire.HeaderFleetAuth),
 		r.Method, n.config.Member.Address.String(), r.URL.RequestURI(), buf.Bytes())
 	if err != nil {
