Bound the receive buffers of accepted connections

What callers saw: nothing yet. The memory of a machine also holds what has arrived and has not been read, such as requests that follow one that is being served.

Cause: a connection is counted with 64 KiB, and the kernel accepted more than that while the node did not read from it.

Evidence: TestReceiveBufferIsBounded, 175,616 bytes written without being read before, 57,344 after; 98,304 allowed, with the buffer of the sender.

Change: listeners behind a gate set a receive buffer of 16 KiB, which the kernel doubles. Accepted connections inherit it, so that it costs no system call for each.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -9,9 +9,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/limit"
@@ -21,6 +23,8 @@
 const (
 	// clientBytes is the memory of a connection without a request: its goroutine, its buffers and those of the kernel.
 	clientBytes = 64 << 10
+	// receiveBuffer is the size of the receive buffer of a connection, which the kernel doubles.
+	receiveBuffer = 16 << 10
 	// headFactor and bodyFactor are the memory of a byte of a head and of a body, and lineBytes that of a parsed line, of which
 	// the maps of the request and of the forwarded headers have an entry each.
 	headFactor = 3
@@ -107,7 +111,27 @@
 }
 
 // Listener returns a listener that accepts the connections of another one if there is room for them, and refuses the others.
-func (g *Gate) Listener(l net.Listener) net.Listener { return &listener{l, g} }
+func (g *Gate) Listener(l net.Listener) net.Listener {
+	g.boundReceiveBuffer(l)
+	return &listener{l, g}
+}
+
+// boundReceiveBuffer bounds what the kernel holds for the connections of a listener while the node does not read from them.
+func (g *Gate) boundReceiveBuffer(l net.Listener) {
+	s, ok := l.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := s.SyscallConn()
+	if err == nil {
+		var failed error
+		err = raw.Control(func(fd uintptr) { failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer) })
+		err = errors.CombineErrors(err, failed)
+	}
+	if err != nil {
+		g.config.Log.Warn("failed to set the receive buffer", "Listener", g.config.Listener, "Error", err)
+	}
+}
 
 type listener struct {
 	net.Listener
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -269,6 +269,27 @@
 	is.True(answered.Load() > 0 && refused.Load() > 0)
 }
 
+// Guards against more bytes than a connection is counted with, which the kernel holds while a request on it is served.
+func TestReceiveBufferIsBounded(t *testing.T) {
+	f := newFixture(t, roomyPool)
+	release := make(chan struct{})
+	f.work = func() { <-release }
+	defer close(release)
+	c := f.dial()
+	const writeBuffer = 16 << 10 // which the kernel doubles
+	is.New(t).NoErr(c.Conn.(*net.TCPConn).SetWriteBuffer(writeBuffer))
+	c.send(50*time.Millisecond, requestLine+fields(100, 0))
+	_ = c.SetWriteDeadline(time.Now().Add(time.Second))
+	n, _ := io.CopyN(c, endless{}, 16<<20)
+	t.Logf("%d bytes written", n)
+	is.New(t).True(n <= clientBytes+2*writeBuffer)
+}
+
+// endless is a reader without end.
+type endless struct{}
+
+func (endless) Read(b []byte) (int, error) { return len(b), nil }
+
 // Guards against a head whose end depends on the pieces in which it arrives.
 func TestHeadScannerIgnoresPieces(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
