Keep no long names in the cache of directory answers

What callers saw: nothing yet.

Cause: the cache bounds the number of its entries and not their size, and a short name of a query kept the whole query alive.

Change: answers for names of more than 253 bytes are not cached, and the cache copies names.

--- a/node/place.go
+++ b/node/place.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,8 +37,23 @@
 	caller place.Caller
 }
 
-// maxCachedAnswers bounds the size of the cache, since callers may query any host name.
-const maxCachedAnswers = 1000
+func (k addressKey) isLong() bool {
+	return max(len(k.host), len(k.caller.FailureDomain), len(k.caller.Region)) > maxCachedNameBytes
+}
+
+// clone returns a copy that does not keep the query alive from which the names are taken.
+func (k addressKey) clone() addressKey {
+	return addressKey{strings.Clone(k.host), place.Caller{
+		FailureDomain: strings.Clone(k.caller.FailureDomain), Region: strings.Clone(k.caller.Region),
+	}}
+}
+
+// maxCachedAnswers and maxCachedNameBytes bound the size of the cache, since callers may query any names. The latter is the
+// maximum length of a name in the domain name system.
+const (
+	maxCachedAnswers   = 1000
+	maxCachedNameBytes = 253
+)
 
 // addressCache caches directory answers until members, routes or servers change, since computing one takes time in
 // proportion to the number of members. It is safe for concurrent use.
@@ -58,12 +74,13 @@
 func (a *addressCache) put(k addressKey, list []netip.AddrPort, generation int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.generation == generation && len(a.entries) < maxCachedAnswers {
-		if a.entries == nil {
-			a.entries = make(map[addressKey][]netip.AddrPort)
-		}
-		a.entries[k] = list
+	if a.generation != generation || len(a.entries) >= maxCachedAnswers || k.isLong() {
+		return
+	}
+	if a.entries == nil {
+		a.entries = make(map[addressKey][]netip.AddrPort)
 	}
+	a.entries[k.clone()] = list
 }
 
 func (a *addressCache) clear() {
--- a/node/place_test.go
+++ b/node/place_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"net/netip"
+	"runtime"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/place"
 )
 
 // Guards against directory answers of the last node that name dead ones, and against a node that forgets the others.
@@ -54,6 +58,31 @@
 	is.Equal(nodes[0].Address, b)
 }
 
+// Guards against memory that long names in directory queries take for good.
+func TestAddressCacheKeepsNoLongNames(t *testing.T) {
+	is := is.New(t)
+	var a addressCache
+	const size = 16 << 10
+	before := heapBytes()
+	for i := range maxCachedAnswers {
+		query := strings.Repeat("p", size) + strconv.Itoa(i)
+		a.put(addressKey{host: query, caller: place.Caller{Region: "tw"}}, nil, 0)
+		a.put(addressKey{host: query[size-10:]}, nil, 0)
+	}
+	grown := heapBytes() - before
+	t.Logf("%d entries, %d KiB", len(a.entries), grown>>10)
+	is.Equal(len(a.entries), maxCachedAnswers)
+	is.True(grown < 1<<20)
+}
+
+// heapBytes returns the size of the live heap.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 // Guards against a directory answer that is computed before a change and cached after it, and against queries for
 // arbitrary host names that exhaust the memory.
 func TestAddressCacheInvalidation(t *testing.T) {
