Bound the memory of answers that callers do not read

What callers saw: no answer, after the process had run out of memory or descriptors.

Cause: an answer of up to 4 MiB was held until its caller had read it or left, without a limit in time or for all together. The memory for large answers was counted while they were read from servers, and not while they waited to be written. Its buffer may be twice as large as the answer.

TestUnreleasedAnswersBoundFurtherOnes and TestUnreadAnswersGiveWay guard the parts.

Change: the reservation for a large answer lasts until the front end has taken room for it from the pool of the callers; without room the answer is 502, which does not promise that the request has not run. A caller that has been reading for more than a second may lose its connection then. The garbage collector gets a soft limit of 0.7 of Capacity.MemoryMB, because it counts on the growth of a heap that the VM does not have.

--- a/back/forward.go
+++ b/back/forward.go
@@ -66,6 +66,16 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// memory is the reservation for the body, nil if there is none.
+	memory *reservation
+}
+
+// Release releases the memory that is reserved for the body of a large answer. It is called when the answer is no longer
+// needed, or its memory is counted elsewhere.
+func (r *Reply) Release() {
+	if r != nil && r.memory != nil {
+		r.memory.release()
+	}
 }
 
 // Forward sends a request to a server at most once. The outcome of the result is OK for a complete answer
--- a/back/hostile_test.go
+++ b/back/hostile_test.go
@@ -240,7 +240,39 @@
 		reply, r := k.Forward(context.Background(), address, deadlineIn(5*time.Second), newForward("r1"))
 		is.Equal(r.Outcome, OK)
 		is.True(bytes.Equal(reply.Body, body))
+		reply.Release()
 		is.Equal(k.buffered.reserved.Load(), int64(0))
 		k.Close()
 	}
 }
+
+// Guards against the memory of large answers that are waiting to be written and that nothing counts.
+func TestUnreleasedAnswersBoundFurtherOnes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	body := bytes.Repeat([]byte("0123456789abcdef"), defaultMaxAnswer/16)
+	address := listen(t, serveRequests(func(_ int, _ *http.Request, c net.Conn) bool {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
+		_, _ = c.Write(body)
+		return false
+	}))
+	k := NewClient(Config{})
+	defer k.Close()
+	k.SetServers([]Server{{Address: address}})
+	var replies []*Reply
+	for range 20 {
+		reply, r := k.Forward(context.Background(), address, deadlineIn(5*time.Second), newForward("r1"))
+		if r.Outcome != OK {
+			break
+		}
+		replies = append(replies, reply)
+	}
+	is.True(len(replies) > 0 && len(replies)*len(body) <= maxAnswerMemory)
+	for _, reply := range replies {
+		reply.Release()
+		reply.Release() // does nothing
+	}
+	is.Equal(k.buffered.reserved.Load(), int64(0))
+	_, r := k.Forward(context.Background(), address, deadlineIn(5*time.Second), newForward("r2"))
+	is.Equal(r.Outcome, OK)
+}
--- a/back/reply.go
+++ b/back/reply.go
@@ -25,13 +25,15 @@
 		return nil, false, &readError{err: errTooLarge, inBody: true}
 	}
 	c.readBudget += limit
-	body, err := readBody(v, limit, memory)
+	reserved := &reservation{memory: memory}
+	body, err := readBody(v, limit, reserved)
 	if err != nil {
+		reserved.release()
 		return nil, false, &readError{err: err, inBody: true}
 	}
 	c.idleTimeout = parseIdleTimeout(v.Header)
 	reusable := !v.Close && c.reader.Buffered() == 0
-	return &Reply{Status: v.StatusCode, Header: v.Header, Body: body}, reusable, nil
+	return &Reply{Status: v.StatusCode, Header: v.Header, Body: body, memory: reserved}, reusable, nil
 }
 
 // errStatus means that the status line has a number that is not the status of an answer to a forwarded request.
@@ -56,7 +58,7 @@
 	}
 }
 
-// answerMemory counts the bytes that are reserved for large answers that are being read.
+// answerMemory counts the bytes that are reserved for large answers.
 type answerMemory struct{ reserved atomic.Int64 }
 
 const (
@@ -76,15 +78,35 @@
 	return nil
 }
 
+// reservation is the memory that is reserved for one answer.
+type reservation struct {
+	memory *answerMemory
+	bytes  atomic.Int64
+}
+
+// grow reserves memory for a larger buffer. The old and the new one are in use while the body is copied.
+func (r *reservation) grow(bytes int, copyBody func()) error {
+	if bytes <= smallAnswerBytes {
+		copyBody()
+		return nil
+	}
+	if err := r.memory.reserve(bytes); err != nil {
+		return err
+	}
+	copyBody()
+	r.memory.reserved.Add(-r.bytes.Swap(int64(bytes)))
+	return nil
+}
+
+func (r *reservation) release() { r.memory.reserved.Add(-r.bytes.Swap(0)) }
+
 // readBody reads a body. It reserves memory as the body grows, not for the length that the server claims.
-func readBody(v *http.Response, limit int, memory *answerMemory) ([]byte, error) {
+func readBody(v *http.Response, limit int, reserved *reservation) ([]byte, error) {
 	if v.ContentLength >= 0 && v.ContentLength <= smallAnswerBytes {
 		body := make([]byte, v.ContentLength)
 		_, err := io.ReadFull(v.Body, body)
 		return body, err
 	}
-	reserved := 0
-	defer func() { memory.reserved.Add(-int64(reserved)) }()
 	body := make([]byte, 0, bytes.MinRead)
 	for {
 		n, err := v.Body.Read(body[len(body):cap(body)])
@@ -100,16 +122,9 @@
 			continue
 		}
 		grown := min(2*cap(body), limit+1)
-		// The old and the new buffer are in use while the body is copied.
-		freed := reserved
-		if grown > smallAnswerBytes {
-			if err := memory.reserve(grown); err != nil {
-				return nil, err
-			}
-			reserved += grown
+		err = reserved.grow(grown, func() { body = append(make([]byte, 0, grown), body...) })
+		if err != nil {
+			return nil, err
 		}
-		body = append(make([]byte, 0, grown), body...)
-		memory.reserved.Add(-int64(freed))
-		reserved -= freed
 	}
 }
--- a/gate/conn.go
+++ b/gate/conn.go
@@ -89,7 +89,7 @@
 func (c *Conn) receive(b []byte, timedOut bool) (cost int, inHead bool, why *refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	inHead = !c.inBody && c.phase != limit.Serving
+	inHead = !c.inBody && c.phase != limit.Serving && c.phase != limit.Sending
 	cost = c.count(b)
 	limits := c.gate.config.Limits()
 	switch {
@@ -105,7 +105,7 @@
 
 // count returns the memory that received bytes take, and follows the head. The caller holds c.mu.
 func (c *Conn) count(b []byte) int {
-	if len(b) == 0 || c.phase == limit.Serving {
+	if len(b) == 0 || c.phase == limit.Serving || c.phase == limit.Sending {
 		return 0
 	}
 	if c.phase == limit.Idle {
@@ -174,10 +174,23 @@
 	return c.phase == limit.Idle || c.phase == limit.Receiving && !c.inBody && !c.head.begun
 }
 
-// evict makes the connection receive nothing more.
+// send records that an answer of a size is written. It reports false if there is no room for it.
+func (c *Conn) send(bytes int) bool {
+	if !c.gate.grow(c, bytes) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.enter(limit.Sending)
+}
+
+// evict makes the connection receive nothing more, and ends the answer that is written.
 func (c *Conn) evict(why *refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.phase == limit.Sending {
+		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+	}
 	c.setRefusal(why)
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -263,6 +263,18 @@
 	return nil
 }
 
+// Send records that an answer of a size is about to be written, by the context of the request. It returns ErrNoRoom if there is
+// no memory to hold the answer until the client has read it.
+func Send(ctx context.Context, bytes int) error {
+	if c, ok := ctx.Value(connKey{}).(*Conn); ok && !c.send(bytes) {
+		return ErrNoRoom
+	}
+	return nil
+}
+
+// ErrNoRoom means that there is no memory to hold an answer.
+var ErrNoRoom = errors.New("gate: no memory for the answer")
+
 // ErrRefused is the error of reads from a connection whose request cannot be received, because there is no memory for it.
 // The request has not run.
 var ErrRefused = errors.New("gate: no memory for the request")
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -26,6 +26,8 @@
 const (
 	// testTimeout ends a test that hangs.
 	testTimeout = 20 * time.Second
+	// largeAnswer is the size from which answers take memory.
+	largeAnswer = 1 << 20
 	// testHeaderBytes and testHeaderTimeout are the limits of heads in the tests.
 	testHeaderBytes   = 1 << 10
 	testHeaderTimeout = time.Second
@@ -72,6 +74,12 @@
 	if f.work != nil {
 		f.work()
 	}
+	if len(body) >= largeAnswer {
+		if err := Send(r.Context(), len(body)); err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+	}
 	_, _ = w.Write(body)
 }
 
@@ -269,6 +277,30 @@
 	is.True(answered.Load() > 0 && refused.Load() > 0)
 }
 
+// Guards against the memory of answers that are not read.
+func TestUnreadAnswersGiveWay(t *testing.T) {
+	is := is.New(t)
+	const size = 4 << 20 // more than the buffers of a connection
+	pool := roomyPool
+	pool.Bytes = 40 << 20
+	f := newFixture(t, pool)
+	body := strings.Repeat("p", size)
+	request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: ledger.example\r\nContent-Length: %d\r\n\r\n%s", size, body)
+	var unread []*client
+	for range 3 {
+		c := f.dial()
+		c.send(0, request)
+		unread = append(unread, c)
+	}
+	time.Sleep(2 * pool.Patience)
+	c := f.dial()
+	c.send(0, request)
+	status, _ := c.status()
+	is.Equal(status, http.StatusOK)
+	status, _ = unread[0].status()
+	is.Equal(status, 0) // ends early, and does not look complete
+}
+
 // Guards against more bytes than a connection is counted with, which the kernel holds while a request on it is served.
 func TestReceiveBufferIsBounded(t *testing.T) {
 	f := newFixture(t, roomyPool)
--- a/gate/head.go
+++ b/gate/head.go
@@ -6,8 +6,8 @@
 type headScanner struct {
 	// lines is the number of lines that have ended. lineBytes is the size of the first line, and fieldBytes that of all others.
 	lines, lineBytes, fieldBytes int
-	// empty is set while the present line has no bytes but a carriage return.
-	empty bool
+	// empty is set while the present line has no bytes but a carriage return, and returned if it has that one.
+	empty, returned bool
 	// begun is set when a line that is not empty has begun; empty lines before the head do not end it.
 	begun bool
 }
@@ -21,8 +21,12 @@
 		if ended {
 			n++
 		}
-		if len(line) > 1 || len(line) == 1 && line[0] != '\r' {
-			s.empty, s.begun = false, true
+		switch {
+		case len(line) == 0:
+		case len(line) == 1 && line[0] == '\r' && s.empty && !s.returned:
+			s.returned = true
+		default:
+			s.empty, s.returned, s.begun = false, false, true
 		}
 		if s.lines == 0 {
 			s.lineBytes += n
@@ -36,7 +40,7 @@
 		if s.empty && s.begun {
 			return read, true
 		}
-		s.empty = true
+		s.empty, s.returned = true, false
 		s.lines++
 	}
 	return read, false
--- a/node.go
+++ b/node.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"os"
+	"runtime/debug"
 
 	"github.com/peterbourgon/ff/v4"
 
@@ -74,6 +76,7 @@
 	})
 	directoryGate := front.NewAuxGate("directory", gate.Directory.Pool(settings.Capacity), n.Metrics(), log)
 	operatorsGate := front.NewAuxGate("operators", gate.Operators.Pool(settings.Capacity), n.Metrics(), log)
+	limitMemory(settings.Capacity)
 	log.Info("node starting", "FailureDomain", settings.FailureDomain, "CallerAddress", settings.CallerAddress)
 	return front.Serve(ctx, &front.Runtime{
 		CallerAddress: settings.CallerAddress,
@@ -91,6 +94,17 @@
 	})
 }
 
+// memoryLimitShare is the share of the VM's memory at which the garbage collector works harder. The rest is for memory that it
+// does not manage, such as the program itself.
+const memoryLimitShare = 0.7
+
+// limitMemory sets the soft memory limit of the garbage collector, unless the environment has set one.
+func limitMemory(c conf.Capacity) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(memoryLimitShare * c.MemoryMB * (1 << 20)))
+	}
+}
+
 // platformAdapter holds the parts of a node that depend on the form of the platform: the configuration
 // source, the header names, and the handlers for the directory and readiness.
 type platformAdapter struct {
--- a/node/attempt.go
+++ b/node/attempt.go
@@ -59,6 +59,10 @@
 		Outcome: outcome, Refused: outcome == gather.Unsent && r.Refused, Latency: r.Latency, ColdRemaining: r.ColdRemaining, Leaving: r.Leaving,
 		RetryAfter: r.RetryAfter, Detail: r.Message,
 	})
+	if n.calls[c.id] != c || !act.Accepted || c.job.Merged {
+		// The parts of an answer from several shards are bounded by their number.
+		reply.Release()
+	}
 	if n.calls[c.id] != c {
 		n.startAttempts(now, act)
 		n.logDecisions(c, act)
--- a/node/serve.go
+++ b/node/serve.go
@@ -143,6 +143,9 @@
 		c.unclear = true
 		n.perform(time.Now(), c, n.engine.Abandon(c.id))
 		n.removeCall(c)
+		for _, p := range uniqueParts(c.parts) {
+			p.Reply.Release()
+		}
 		return gather.Finished{}, context.Cause(ctx)
 	}
 }
