Let the restarted server of a test be the faster one, and give the test a name of its own

Cause: TestLeavingServer of front waited for requests at a server that had been restarted, beside one that answers in less than a hundredth of the time that the engine expects (slowness 0.009 against 0.73). Requests that come one after the other all go to the faster server, which is right.

--- a/front/announce_test.go
+++ b/front/announce_test.go
@@ -29,7 +29,7 @@
 
 // Guards, from the caller to the server, against requests to a server that has announced that it leaves although the list
 // names it as ready, against a changed answer that announces it, and against a new process that gets no requests.
-func TestLeavingServer(t *testing.T) {
+func TestServerThatLeaves(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, "lukang")
 	n := f.nodes[0]
@@ -55,6 +55,8 @@
 	is.Equal(len(other.Arrivals()), 60)
 
 	leaving.SetFaults(fake.RoutedFaults{})
+	// Requests that come one after the other all go to the faster server.
+	other.SetFaults(fake.RoutedFaults{Slow: 50 * time.Millisecond})
 	entry := f.serverEntry("ledger-lukang", "ledger", "lukang")
 	entry.StartTime = time.UnixMilli(time.Now().UnixMilli())
 	f.published.PutServer(entry)
