--- a/front/server.go
+++ b/front/server.go
@@ -38,8 +38,9 @@
 	Handler http.Handler
 	// Limits is called for each request and at each check for idle connections, because the limits may change.
 	Limits func() table.Limits
-	// Capacity is that of the VM, of which callers get a share.
-	Capacity conf.Capacity
+	// Capacity is that of the VM, of which callers get a share. Connections, if above 0, is a lower limit for their connections.
+	Capacity    conf.Capacity
+	Connections int
 	// Metrics may be nil.
 	Metrics *meter.Metrics
 	Log     *slog.Logger
@@ -77,8 +78,12 @@
 	s := &Server{
 		limits: c.Limits, log: c.Log, conns: newConnSet(h), served: make(chan struct{}), idle: make(map[net.Conn]*idleConn),
 	}
+	pool := gate.Callers.Pool(c.Capacity)
+	if c.Connections > 0 {
+		pool.Clients = min(pool.Clients, c.Connections)
+	}
 	s.gate = gate.New(gate.Config{
-		Listener: "callers", Pool: gate.Callers.Pool(c.Capacity), Limits: s.headLimits, Metrics: c.Metrics, Log: c.Log,
+		Listener: "callers", Pool: pool, Limits: s.headLimits, Metrics: c.Metrics, Log: c.Log,
 	})
 	s.http = &http.Server{
 		Handler:        http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(h, w, r) }),
--- a/node.go
+++ b/node.go
@@ -82,7 +82,7 @@
 		CallerAddress: settings.CallerAddress,
 		Server: front.NewServer(front.ServerConfig{
 			Handler: handler, Limits: func() table.Limits { return limitsOfTable(n.Table()) }, Capacity: settings.Capacity,
-			Metrics: n.Metrics(), Log: log,
+			Connections: settings.Limits.CallerConnections, Metrics: n.Metrics(), Log: log,
 		}),
 		AuxEndpoints: []front.Endpoint{
 			{Address: settings.DirectoryAddress, Handler: p.directory(n, log), Gate: directoryGate},
