Write refusals without the lock of the connection, and say overload to other nodes

Cause: a refusal was written, for up to 100 ms, under a lock that the accepting goroutine takes when it evicts the connection. A request of another node that found no memory was refused as a bad request.

Change: the lock is released before the refusal is written; the reason for other nodes is Overload.

No run has shown the wait; found by reading.

--- a/front/answer.go
+++ b/front/answer.go
@@ -22,7 +22,7 @@
 
 // respond writes the response to a request, and records its metrics and its log line.
 func (h *Handler) respond(w http.ResponseWriter, r *http.Request, q *node.Request, out *node.Outcome, started time.Time) {
-	status := http.StatusOK
+	var status int
 	switch {
 	case out.End != gather.Complete && out.End != gather.Partial:
 		status = failureStatus(out)
--- a/gate/conn.go
+++ b/gate/conn.go
@@ -189,7 +189,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == limit.Sending {
-		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
 	}
 	c.setRefusal(why)
 }
@@ -208,10 +208,11 @@
 // has no request to answer.
 func (c *Conn) refuse(why *refusal, inHead bool) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.setRefusal(why)
-	if inHead && c.head.begun && !c.told {
-		c.told = true
+	tell := inHead && c.head.begun && !c.told
+	c.told = c.told || tell
+	c.mu.Unlock()
+	if tell {
 		c.write(why)
 	}
 }
@@ -236,13 +237,13 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// write writes a refusal.
+// write writes a refusal. The caller must not hold c.mu, because the accepting goroutine may evict the connection meanwhile.
 func (c *Conn) write(why *refusal) {
 	retry := ""
 	if why.retryAfter > 0 {
 		retry = fmt.Sprintf("Retry-After: %d\r\n", int(why.retryAfter.Seconds()))
 	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTime))
 	// A client that does not take the refusal sees the close.
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s\n",
 		why.status, http.StatusText(why.status), retry, len(why.reason)+1, why.reason)
--- a/peer/server.go
+++ b/peer/server.go
@@ -169,6 +169,9 @@
 		if errors.As(err, &large) {
 			return nil, n.refuse(wire.StepDecode, wire.ReasonTooLarge, "request body exceeds %d bytes", large.Limit)
 		}
+		if errors.Is(err, gate.ErrRefused) {
+			return nil, n.refuse(wire.StepDecode, wire.ReasonOverload, "%v", err)
+		}
 		return nil, n.refuse(wire.StepDecode, wire.ReasonBadRequest, "read request body: %v", err)
 	}
 	if err := gate.Received(r.Context()); err != nil {
