Bound the clients of the nodes with slices

What callers saw: no answer, after a process of arbutusthread serve had run out of memory or descriptors.

Cause: its listeners for callers and operators had net/http's 1 MiB as the limit of a head; the one for callers stopped accepting at 10,000 connections, and the one for operators never.

Change: both listeners have a gate, above TLS as for other nodes; a client that speaks no TLS there still gets 400, which net/http does for connections of its own only (TestFleetOverTLS). Requests are marked as received when their body has been decoded. The limits of heads at listeners without configured ones are gate.DefaultLimits. netutil is not needed any more.

TestUnreadAnswersGiveWay of gate failed once beside other tests: an answer of 4 MiB fitted into the buffers of its connection, which the kernel lets grow to 4 and 32 MiB here.

--- a/crowd_test.go
+++ b/crowd_test.go
@@ -143,11 +143,31 @@
 	}
 }
 
+// namedCrowd is a crowd with the name of its kind.
+type namedCrowd struct {
+	name string
+	crowd
+}
+
+// otherCrowds returns the crowds at listeners for others than callers, which send requests to a path.
+func otherCrowds(path string) []namedCrowd {
+	unfinished := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(largestBody), largestBody[1:])
+	large := shortLines(60<<10) + "\r\n"
+	return []namedCrowd{
+		{"large heads", crowd{first: func(i int) string { return headOf(http.MethodPost, path, i, large) }}},
+		{"heads without end", crowd{
+			first: func(i int) string { return headOf(http.MethodPost, path, i, "Pairs:") }, rest: shortLines(2 * chunkBytes), endless: true,
+		}},
+		{"unfinished bodies", crowd{first: func(i int) string {
+			return headOf(http.MethodPost, path, i, "Fleet-Protocol: 1\r\n", unfinished)
+		}}},
+		{"idle connections", crowd{first: func(i int) string { return headOf(http.MethodGet, path, i, "\r\n") }, await: true}},
+	}
+}
+
 // Guards against a process that runs out of memory or descriptors because of clients of the listeners for others than callers.
 func TestCrowdAtOtherListeners(t *testing.T) {
 	binary := buildNode(t)
-	unfinished := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(largestBody), largestBody[1:])
-	large := shortLines(60<<10) + "\r\n"
 	for i, x := range []struct {
 		name, path, ordinary string
 		address              func(*conf.Settings) netip.AddrPort
@@ -158,19 +178,7 @@
 		{"metrics", "/metrics", "/metrics", func(s *conf.Settings) netip.AddrPort { return s.MetricsAddress }},
 		{"peers", "/peer/gather", "/peer/members", func(s *conf.Settings) netip.AddrPort { return s.PeerAddress }},
 	} {
-		for k, y := range []struct {
-			name string
-			crowd
-		}{
-			{"large heads", crowd{first: func(i int) string { return headOf(http.MethodPost, x.path, i, large) }}},
-			{"heads without end", crowd{
-				first: func(i int) string { return headOf(http.MethodPost, x.path, i, "Pairs:") }, rest: shortLines(2 * chunkBytes), endless: true,
-			}},
-			{"unfinished bodies", crowd{first: func(i int) string {
-				return headOf(http.MethodPost, x.path, i, "Fleet-Protocol: 1\r\n", unfinished)
-			}}},
-			{"idle connections", crowd{first: func(i int) string { return headOf(http.MethodGet, x.path, i, "\r\n") }, await: true}},
-		} {
+		for k, y := range otherCrowds(x.path) {
 			t.Run(x.name+", "+y.name, func(t *testing.T) {
 				w, n := newCrowdNode(t, binary, byte(150+4*i+k))
 				y.address, y.ordinary = x.address, x.ordinary
@@ -179,3 +187,27 @@
 		}
 	}
 }
+
+// Guards against a node with slices that runs out of memory or descriptors because of clients of its listeners.
+func TestCrowdAtServe(t *testing.T) {
+	binary := buildNode(t)
+	for i, x := range []struct {
+		name, path, ordinary string
+		address              func(*conf.Settings) netip.AddrPort
+	}{
+		{"callers", "/v1/services/ledger/query", "/v1/unknown", func(s *conf.Settings) netip.AddrPort { return s.CallerAddress }},
+		{"operators", "/ops/status", "/ops/status", func(s *conf.Settings) netip.AddrPort { return s.OpsAddress }},
+	} {
+		for k, y := range otherCrowds(x.path) {
+			t.Run(x.name+", "+y.name, func(t *testing.T) {
+				w := newStopWorld(t, binary, byte(190+4*i+k))
+				n := w.newNode("Lukang")
+				n.settings.Capacity = conf.Capacity{MemoryMB: crowdMemoryMB, Descriptors: crowdDescriptors}
+				w.writeSettings(n)
+				w.startServe(n, crowdDescriptors)
+				y.address, y.ordinary, y.alone = x.address, x.ordinary, true
+				y.play(w, n)
+			})
+		}
+	}
+}
--- a/crowd_world_test.go
+++ b/crowd_world_test.go
@@ -60,8 +60,9 @@
 	endless bool
 	// unread is set if the clients do not read the answers.
 	unread bool
-	// ordinary is the path of an ordinary request to the listener.
+	// ordinary is the path of an ordinary request to the listener. If alone is set, no other ordinary request is sent.
 	ordinary string
+	alone    bool
 }
 
 // newCrowdNode starts a node with the capacity of the tests, and returns it when it answers.
@@ -75,6 +76,16 @@
 	return w, n
 }
 
+// startServe starts a node with slices, "arbutusthread serve", with a limit for its descriptors.
+func (w *stopWorld) startServe(n *stopNode, descriptors uint64) {
+	w.Helper()
+	w.command = []string{"serve", "--settings"}
+	w.start(n)
+	limit := unix.Rlimit{Cur: descriptors, Max: descriptors}
+	w.must(unix.Prlimit(n.command.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
+	w.awaitAnswerAt(n.settings.OpsAddress, "/health")
+}
+
 // startSingle starts a node with a limit for its descriptors and waits until it answers. Beside those of all worlds it has a
 // route with large answers and one on which bodies may be slow.
 func (w *stopWorld) startSingle(n *stopNode, descriptors uint64) {
@@ -162,7 +173,9 @@
 	for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		most = max(most, n.descriptors())
 	}
-	w.awaitAnswer(n)
+	if !v.alone {
+		w.awaitAnswer(n)
+	}
 	if v.ordinary != "" {
 		w.awaitAnswerAt(address, v.ordinary)
 	}
--- a/front/run.go
+++ b/front/run.go
@@ -14,8 +14,6 @@
 
 	"github.com/arbutusthread/arbutusthread/clock"
 	"github.com/arbutusthread/arbutusthread/gate"
-	"github.com/arbutusthread/arbutusthread/limit"
-	"github.com/arbutusthread/arbutusthread/meter"
 )
 
 const (
@@ -32,9 +30,8 @@
 	defaultStopTime = 10 * time.Second
 	// auxTimeout is the timeout for reading a request to an auxiliary endpoint, and for writing its response.
 	// auxIdleTimeout is the time for which a connection without a request stays open.
-	auxTimeout        = 5 * time.Second
-	auxIdleTimeout    = 90 * time.Second
-	maxAuxHeaderBytes = 16 << 10
+	auxTimeout     = 5 * time.Second
+	auxIdleTimeout = 90 * time.Second
 )
 
 // Endpoint is a handler with a separate listen address.
@@ -45,13 +42,6 @@
 	Gate *gate.Gate
 }
 
-// NewAuxGate returns a Gate for auxiliary endpoints. The metrics may be nil.
-func NewAuxGate(name string, pool limit.PoolConfig, metrics *meter.Metrics, log *slog.Logger) *gate.Gate {
-	return gate.New(gate.Config{Listener: name, Pool: pool, Metrics: metrics, Log: log, Limits: func() gate.Limits {
-		return gate.Limits{HeaderBytes: maxAuxHeaderBytes, HeaderTimeout: auxTimeout}
-	}})
-}
-
 // Runtime is a node with its listeners.
 type Runtime struct {
 	// CallerAddress is the listen address for callers, and Server serves it.
--- a/gate/conn.go
+++ b/gate/conn.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -66,12 +67,26 @@
 		why = outOfMemory
 	}
 	if why == nil {
+		answerPlainText(err)
 		return n, err
 	}
 	c.refuse(why, inHead)
 	return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: ErrRefused}
 }
 
+// answerPlainText answers a client that does not use TLS on a listener with TLS, as net/http does for a *tls.Conn.
+func answerPlainText(err error) {
+	var record tls.RecordHeaderError
+	if !errors.As(err, &record) || record.Conn == nil {
+		return
+	}
+	switch string(record.RecordHeader[:]) {
+	case "GET /", "HEAD ", "POST ", "PUT /", "OPTIO":
+		_ = record.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
+		_, _ = io.WriteString(record.Conn, "HTTP/1.0 400 Bad Request\r\n\r\nClient sent an HTTP request to an HTTPS server.\n")
+	}
+}
+
 // Write writes to the connection. Nothing follows a refusal: net/http takes a line that the refusal has cut short for a malformed
 // one, which it answers with 400.
 func (c *Conn) Write(b []byte) (int, error) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -78,12 +78,15 @@
 	HeaderTimeout time.Duration
 }
 
+// DefaultLimits are the limits at listeners whose limits are not configured.
+var DefaultLimits = Limits{HeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second}
+
 // Config configures a Gate.
 type Config struct {
 	// Listener names the listener in logs and metrics.
 	Listener string
 	Pool     limit.PoolConfig
-	// Limits is called for each request, because the limits may change.
+	// Limits is called for each request, because the limits may change. If it is nil, DefaultLimits applies.
 	Limits func() Limits
 	// Metrics may be nil.
 	Metrics *meter.Metrics
@@ -104,6 +107,9 @@
 
 // New returns a Gate.
 func New(c Config) *Gate {
+	if c.Limits == nil {
+		c.Limits = func() Limits { return DefaultLimits }
+	}
 	return &Gate{
 		config: c, lingering: make(chan struct{}, max(1, int(lingeringShare*float64(c.Pool.Clients)))),
 		pool: limit.NewPool[*Conn](c.Pool), refused: make(map[string]int),
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -132,7 +132,6 @@
 func ExampleGate() {
 	g := New(Config{
 		Listener: "directory", Pool: Directory.Pool(conf.Capacity{MemoryMB: 256, Descriptors: 4096}), Log: slog.Default(),
-		Limits: func() Limits { return Limits{HeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second} },
 	})
 	server := http.Server{Handler: http.NotFoundHandler(), ConnState: g.ConnState, ConnContext: g.ConnContext}
 	l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -280,15 +279,16 @@
 // Guards against the memory of answers that are not read.
 func TestUnreadAnswersGiveWay(t *testing.T) {
 	is := is.New(t)
-	const size = 4 << 20 // more than the buffers of a connection
+	const size = 8 << 20 // more than the buffers of the connections, which have a small one on the side of the client
 	pool := roomyPool
-	pool.Bytes = 40 << 20
+	pool.Bytes = 90 << 20
 	f := newFixture(t, pool)
 	body := strings.Repeat("p", size)
 	request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: ledger.example\r\nContent-Length: %d\r\n\r\n%s", size, body)
 	var unread []*client
 	for range 3 {
 		c := f.dial()
+		is.NoErr(c.Conn.(*net.TCPConn).SetReadBuffer(16 << 10))
 		c.send(0, request)
 		unread = append(unread, c)
 	}
--- a/node.go
+++ b/node.go
@@ -74,8 +74,12 @@
 	handler := front.NewHandler(front.Config{
 		Backend: n, Headers: p.headers, Cores: settings.Capacity.Cores, Metrics: n.Metrics(), Log: log,
 	})
-	directoryGate := front.NewAuxGate("directory", gate.Directory.Pool(settings.Capacity), n.Metrics(), log)
-	operatorsGate := front.NewAuxGate("operators", gate.Operators.Pool(settings.Capacity), n.Metrics(), log)
+	directoryGate := gate.New(gate.Config{
+		Listener: "directory", Pool: gate.Directory.Pool(settings.Capacity), Metrics: n.Metrics(), Log: log,
+	})
+	operatorsGate := gate.New(gate.Config{
+		Listener: "operators", Pool: gate.Operators.Pool(settings.Capacity), Metrics: n.Metrics(), Log: log,
+	})
 	limitMemory(settings.Capacity)
 	log.Info("node starting", "FailureDomain", settings.FailureDomain, "CallerAddress", settings.CallerAddress)
 	return front.Serve(ctx, &front.Runtime{
--- a/peer/server.go
+++ b/peer/server.go
@@ -69,7 +69,6 @@
 func newGate(c Config) *gate.Gate {
 	return gate.New(gate.Config{
 		Listener: "peers", Pool: gate.Peers.Pool(c.Capacity), Metrics: c.Metrics, Log: c.Log,
-		Limits: func() gate.Limits { return gate.Limits{HeaderBytes: maxHeaderBytes, HeaderTimeout: readHeaderTimeout} },
 	})
 }
 
--- a/serve/caller.go
+++ b/serve/caller.go
@@ -12,6 +12,7 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/arbutusthread/arbutusthread/conf"
+	"github.com/arbutusthread/arbutusthread/gate"
 	"github.com/arbutusthread/arbutusthread/query"
 	"github.com/arbutusthread/arbutusthread/wire"
 )
@@ -66,6 +67,9 @@
 		r := &request{Context: c, service: c.Params().Get("service"), started: time.Now()}
 		c.Request().Body = http.MaxBytesReader(c.ResponseWriter(), c.Request().Body, int64(n.settings.Limits.BodyBytes))
 		f := n.authorize(r)
+		if f == nil && c.Request().ContentLength == 0 {
+			f = r.received()
+		}
 		if f != nil && (name == pathOrders || name == pathOutcome) {
 			f = withUnknownOutcome(f)
 		}
@@ -119,6 +123,22 @@
 	return n.checkReady()
 }
 
+// decode reads the body, and records that the request is complete.
+func (r *request) decode(v any) *wire.Failure {
+	if f := decode(r.Request().Body, v); f != nil {
+		return f
+	}
+	return r.received()
+}
+
+// received records that the request is complete. It fails if there was no room for the request.
+func (r *request) received() *wire.Failure {
+	if err := gate.Received(r.Request().Context()); err != nil {
+		return wire.Refuse(wire.StepDecode, "", wire.ReasonOverload, "%v", err)
+	}
+	return nil
+}
+
 // decode reads a body that must contain exactly one JSON value without unknown fields.
 func decode(body io.Reader, v any) *wire.Failure {
 	d := json.NewDecoder(body)
@@ -131,6 +151,9 @@
 		return wire.Refuse(wire.StepDecode, "", wire.ReasonBadRequest, "body has more than one value")
 	}
 	var large *http.MaxBytesError
+	if errors.Is(err, gate.ErrRefused) {
+		return wire.Refuse(wire.StepDecode, "", wire.ReasonOverload, "%v", err)
+	}
 	if errors.As(err, &large) {
 		return wire.Refuse(wire.StepDecode, "", wire.ReasonTooLarge, "body is larger than %d bytes", large.Limit)
 	}
@@ -150,7 +173,7 @@
 
 func (n *Node) query(r *request) (any, *wire.Failure) {
 	var q wire.Query
-	if f := decode(r.Request().Body, &q); f != nil {
+	if f := r.decode(&q); f != nil {
 		return nil, f
 	}
 	if f := n.prepare(&q); f != nil {
@@ -182,7 +205,7 @@
 	var b struct {
 		Count int `json:"Count"`
 	}
-	if f := decode(r.Request().Body, &b); f != nil {
+	if f := r.decode(&b); f != nil {
 		return nil, f
 	}
 	keys, f := n.orders.issue(r.service, r.caller.Name, max(1, b.Count))
@@ -191,7 +214,7 @@
 
 func (n *Node) order(r *request) (any, *wire.Failure) {
 	var b wire.Order
-	if f := decode(r.Request().Body, &b); f != nil {
+	if f := r.decode(&b); f != nil {
 		return nil, withUnknownOutcome(f)
 	}
 	k := n.active.Load().catalog.Service(r.service).Kind(b.Kind)
--- a/serve/node.go
+++ b/serve/node.go
@@ -12,12 +12,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/arbutusthread/arbutusthread/back"
 	"github.com/arbutusthread/arbutusthread/conf"
 	"github.com/arbutusthread/arbutusthread/fleet"
+	"github.com/arbutusthread/arbutusthread/gate"
 	"github.com/arbutusthread/arbutusthread/guard"
 	"github.com/arbutusthread/arbutusthread/meter"
 	"github.com/arbutusthread/arbutusthread/order"
@@ -111,11 +111,17 @@
 	if n.callerListener, err = listen(s.CallerAddress, server); err != nil {
 		return err
 	}
-	n.callerListener = netutil.LimitListener(n.callerListener, s.Limits.CallerConnections)
 	if n.opsListener, err = listen(s.OpsAddress, server); err != nil {
 		return err
 	}
-	n.callerServer, n.opsServer = n.httpServer(n.callerHandler()), n.httpServer(n.opsHandler())
+	callers := gate.Callers.Pool(s.Capacity)
+	if s.Limits.CallerConnections > 0 {
+		callers.Clients = min(callers.Clients, s.Limits.CallerConnections)
+	}
+	callerGate := gate.New(gate.Config{Listener: "callers", Pool: callers, Metrics: n.metrics, Log: n.log})
+	opsGate := gate.New(gate.Config{Listener: "operators", Pool: gate.Operators.Pool(s.Capacity), Metrics: n.metrics, Log: n.log})
+	n.callerListener, n.opsListener = callerGate.Listener(n.callerListener), opsGate.Listener(n.opsListener)
+	n.callerServer, n.opsServer = n.httpServer(n.callerHandler(), callerGate), n.httpServer(n.opsHandler(), opsGate)
 	return n.openPeer(server, client)
 }
 
@@ -125,7 +131,8 @@
 		Member: fleet.Member{
 			Address: s.PeerAddress, Caller: n.CallerAddress(), FailureDomain: s.FailureDomain, Region: s.Region,
 		},
-		Keys: s.Keys(), ServerTLS: server, ClientTLS: client, OnEvent: n.handleEvent, Log: n.log,
+		Keys: s.Keys(), ServerTLS: server, ClientTLS: client, OnEvent: n.handleEvent, Capacity: s.Capacity, Metrics: n.metrics,
+		Log: n.log,
 		Handlers: peer.Handlers{
 			Slice: n.servePeerSlice, Order: n.servePeerOrder, Execute: n.servePeerExecute,
 			Document: n.documentSince, InstallDocument: n.installPulled,
@@ -220,9 +227,9 @@
 	return err
 }
 
-func (n *Node) httpServer(h http.Handler) *http.Server {
+func (n *Node) httpServer(h http.Handler, g *gate.Gate) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: g.ConnState, ConnContext: g.ConnContext,
 		ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 }
--- a/stop_world_test.go
+++ b/stop_world_test.go
@@ -58,6 +58,8 @@
 	lastID   atomic.Int64
 	// frozenFrom and frozenTo are the times between which a node is frozen, zero if it is not.
 	frozenFrom, frozenTo time.Time
+	// command is the subcommand of the nodes with the flag for their settings.
+	command []string
 	// variables are added to the environment of the nodes.
 	variables []string
 	// output, if set, receives the output of the nodes instead of their logs.
@@ -90,6 +92,7 @@
 // silent never does. No configuration is published yet.
 func newStopWorld(t *testing.T, binary string, subnet byte) *stopWorld {
 	w := &stopWorld{T: t, binary: binary, subnet: subnet, servers: make(map[string]*fake.RoutedServer)}
+	w.command = []string{"node", "--config"}
 	w.document = &conf.Document{Preset: "ordinary", Presets: []conf.Preset{{Name: "ordinary", QueueLimit: 256}}}
 	for _, d := range []string{"Lukang", "Yilan"} {
 		w.document.FailureDomains = append(w.document.FailureDomains, conf.FailureDomain{Name: d, Region: "tw", State: conf.DomainIn})
@@ -197,7 +200,7 @@
 	w.Helper()
 	log, err := os.Create(n.log)
 	w.must(err)
-	n.command = exec.Command(w.binary, "node", "--config", n.file) //nolint:noctx // the cases end it by signals
+	n.command = exec.Command(w.binary, append(w.command, n.file)...) //nolint:noctx // the cases end it by signals
 	n.command.Stdout, n.command.Stderr, n.command.Env = cmp.Or(w.output, log), log, append(os.Environ(), w.variables...)
 	w.must(n.command.Start())
 	go func() {
