Test many large requests on one connection

Cause: all crowds so far use many connections, and memory may also stay behind after each of many requests on one.

Change: TestManyRequestsOnOneConnection sends the largest heads, the largest bodies and long names for the directory on one connection, without waiting for answers.

--- a/crowd_test.go
+++ b/crowd_test.go
@@ -100,6 +100,32 @@
 	(&crowd{first: func(i int) string { return headOf(http.MethodGet, "/large/", i, "\r\n") }, unread: true}).play(w, n)
 }
 
+// Guards against a process that runs out of memory because of what one client sends on one connection, without a pause.
+func TestManyRequestsOnOneConnection(t *testing.T) {
+	binary := buildNode(t)
+	for i, x := range []struct {
+		name     string
+		requests int
+		address  func(*stopNode) netip.AddrPort
+		request  func(request int) string
+	}{
+		{"largest heads", 250, func(n *stopNode) netip.AddrPort { return n.caller }, func(i int) string { return largestHead("/lookup/", i) }},
+		{"largest bodies", 250, func(n *stopNode) netip.AddrPort { return n.caller }, func(i int) string {
+			return headOf(http.MethodPost, "/lookup/", i, fmt.Sprintf("Content-Length: %d\r\n\r\n", len(largestBody)), largestBody)
+		}},
+		{"long names in the directory", 1000, func(n *stopNode) netip.AddrPort { return n.settings.DirectoryAddress }, func(i int) string {
+			return headOf(http.MethodGet, fmt.Sprintf("/v1/addresses?host=%s%d", strings.Repeat("p", 60<<10), i), i, "\r\n")
+		}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			w, n := newCrowdNode(t, binary, byte(252+i))
+			w.sendAll(x.address(n), x.requests, x.request)
+			w.awaitAnswer(n)
+			t.Logf("peak memory %d MiB", w.checkMemory(n))
+		})
+	}
+}
+
 // Guards against a single request at the limits that is refused by a node of the least capacity: the largest head, in the
 // greatest number of lines, the largest body, with its length and in chunks, and the slowest head and body.
 func TestRequestsAtTheLimits(t *testing.T) {
--- a/crowd_world_test.go
+++ b/crowd_world_test.go
@@ -180,19 +180,50 @@
 		w.awaitAnswerAt(address, v.ordinary)
 	}
 	most = max(most, n.descriptors())
+	peak := w.checkMemory(n)
+	w.Logf("connections: %d opened, %d closed by the node; peak memory %d MiB, descriptors %d", opened.Load(), closed.Load(), peak, most)
+	if most > maxCrowdDescriptors {
+		w.Errorf("the process used %d descriptors, more than %d of %d", most, maxCrowdDescriptors, crowdDescriptors)
+	}
+}
+
+// sendAll sends requests on one connection, each without waiting for the answer to the one before, and reads the answers. The node
+// may close the connection.
+func (w *stopWorld) sendAll(address netip.AddrPort, requests int, request func(int) string) {
+	w.Helper()
+	c, err := net.Dial("tcp", address.String()) //nolint:noctx // loopback
+	w.must(err)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(ordinaryTime))
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		_, _ = io.Copy(io.Discard, c)
+	}()
+	sent := 0
+	for ; sent < requests; sent++ {
+		if _, err := io.WriteString(c, request(sent)); err != nil {
+			break
+		}
+	}
+	_ = c.(*net.TCPConn).CloseWrite()
+	<-read
+	w.Logf("%d requests sent", sent)
+}
+
+// checkMemory checks that the process lives within the memory of its VM, and returns the peak in MiB.
+func (w *stopWorld) checkMemory(n *stopNode) int {
+	w.Helper()
 	select {
 	case <-n.done:
 		w.Fatalf("the process ended: %v", n.err)
 	default:
 	}
 	peak := n.peakMemoryMB()
-	w.Logf("connections: %d opened, %d closed by the node; peak memory %d MiB, descriptors %d", opened.Load(), closed.Load(), peak, most)
 	if peak > crowdMemoryMB {
 		w.Errorf("the process used %d MiB of memory, its VM has %d", peak, crowdMemoryMB)
 	}
-	if most > maxCrowdDescriptors {
-		w.Errorf("the process used %d descriptors, more than %d of %d", most, maxCrowdDescriptors, crowdDescriptors)
-	}
+	return peak
 }
 
 // send sends what the crowd sends on one connection. It reports whether the connection is still open, which it is until the
