--- a/conf/settings.go
+++ b/conf/settings.go
@@ -189,7 +189,9 @@
 	DefaultDescriptors       = 4_096
 	// MinMemoryMB and MinDescriptors are what a node without callers needs, with room for one request at the limits.
 	MinMemoryMB    = 64
+	MaxMemoryMB    = 1 << 20
 	MinDescriptors = 128
+	MaxDescriptors = 1 << 20
 	// MinFleetKeyBytes is half the output length of HMAC-SHA-256, the minimum that RFC 2104 recommends.
 	MinFleetKeyBytes = 16
 	MaxFleetKeyBytes = 64
@@ -201,8 +203,6 @@
 	maxBoundTime     = time.Hour
 	maxCores         = 4096.0
 	maxLinkMbps      = 1e6
-	maxMemoryMB      = 1 << 20
-	maxDescriptors   = 1 << 20
 	maxLimitBytes    = 64 << 20
 	maxLimitEntries  = 10_000_000
 )
@@ -258,8 +258,8 @@
 	c.bounds(s.Bounds)
 	checkRange(&c.faults, "Capacity.Cores", s.Capacity.Cores, 0, maxCores)
 	checkRange(&c.faults, "Capacity.LinkMbps", s.Capacity.LinkMbps, 0, maxLinkMbps)
-	checkRange(&c.faults, "Capacity.MemoryMB", s.Capacity.MemoryMB, MinMemoryMB, maxMemoryMB)
-	checkRange(&c.faults, "Capacity.Descriptors", s.Capacity.Descriptors, MinDescriptors, maxDescriptors)
+	checkRange(&c.faults, "Capacity.MemoryMB", s.Capacity.MemoryMB, MinMemoryMB, MaxMemoryMB)
+	checkRange(&c.faults, "Capacity.Descriptors", s.Capacity.Descriptors, MinDescriptors, MaxDescriptors)
 	c.fleetKeys(s.FleetKeys)
 	if (s.TLS.Certificate == "") != (s.TLS.Key == "") {
 		c.faults.add("TLS", "must have both Certificate and Key, or neither")
--- a/node.go
+++ b/node.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"strconv"
 
 	"github.com/peterbourgon/ff/v4"
 
@@ -24,12 +25,16 @@
 type nodeCommand struct {
 	*cli
 	config string
+	// memoryMB and descriptors replace the capacity in the settings if they are not empty.
+	memoryMB, descriptors string
 }
 
 func newNode(s *cli, parent *ff.FlagSet) *ff.Command {
 	c := &nodeCommand{cli: s}
 	flags := ff.NewFlagSet("node").SetParent(parent)
 	flags.StringVar(&c.config, 'c', "config", "", "settings file of the node")
+	flags.StringVar(&c.memoryMB, 0, "memory-mb", "", "memory of the process in MiB, instead of Capacity.MemoryMB")
+	flags.StringVar(&c.descriptors, 0, "descriptors", "", "open files and sockets of the process, instead of Capacity.Descriptors")
 	return &ff.Command{
 		Name:      "node",
 		Usage:     "arbutusthread node --config FILE",
@@ -57,6 +62,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.setCapacity(&settings.Capacity); err != nil {
+		return err
+	}
 	output := logs.New(logs.Config{Output: c.out, Level: settings.Log.SlogLevel()})
 	defer output.Close()
 	log := output.Logger("Node", settings.Name)
@@ -109,6 +117,26 @@
 	}
 }
 
+// setCapacity replaces what the flags name. Values below the minimum of the settings mean the minimum, because a small VM serves
+// better than none.
+func (c *nodeCommand) setCapacity(v *conf.Capacity) error {
+	if c.memoryMB != "" {
+		n, err := strconv.ParseFloat(c.memoryMB, 64)
+		if err != nil || !(n > 0) {
+			return usagef("--memory-mb: %q is not a number above 0", c.memoryMB)
+		}
+		v.MemoryMB = min(max(n, conf.MinMemoryMB), conf.MaxMemoryMB)
+	}
+	if c.descriptors != "" {
+		n, err := strconv.Atoi(c.descriptors)
+		if err != nil || n <= 0 {
+			return usagef("--descriptors: %q is not a number above 0", c.descriptors)
+		}
+		v.Descriptors = min(max(n, conf.MinDescriptors), conf.MaxDescriptors)
+	}
+	return nil
+}
+
 // platformAdapter holds the parts of a node that depend on the form of the platform: the configuration
 // source, the header names, and the handlers for the directory and readiness.
 type platformAdapter struct {
