--- a/node.go
+++ b/node.go
@@ -89,7 +89,8 @@
 		Listener: "operators", Pool: gate.Operators.Pool(settings.Capacity), Metrics: n.Metrics(), Log: log,
 	})
 	limitMemory(settings.Capacity)
-	log.Info("node starting", "FailureDomain", settings.FailureDomain, "CallerAddress", settings.CallerAddress)
+	log.Info("node starting", "FailureDomain", settings.FailureDomain, "CallerAddress", settings.CallerAddress,
+		"MemoryMB", settings.Capacity.MemoryMB, "Descriptors", settings.Capacity.Descriptors)
 	return front.Serve(ctx, &front.Runtime{
 		CallerAddress: settings.CallerAddress,
 		Server: front.NewServer(front.ServerConfig{
