--- a/crowd_world_test.go
+++ b/crowd_world_test.go
@@ -50,7 +50,7 @@
 
 // crowd is a number of clients that all send the same kind of request to a listener of a node.
 type crowd struct {
-	// address is the listener, the one for callers if it is not valid.
+	// address returns the listener; nil means the one for callers.
 	address func(*conf.Settings) netip.AddrPort
 	// first is sent on each new connection, and its first answer is read if await is set. Then rest is sent at once, or, if
 	// endless is set, again and again until the node closes the connection.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -26,7 +26,7 @@
 	// receiveBuffer is the size of the receive buffer of a connection, which the kernel doubles.
 	receiveBuffer = 16 << 10
 	// headFactor and bodyFactor are the memory of a byte of a head and of a body, and lineBytes that of a parsed line, of which
-	// the maps of the request and of the forwarded headers have an entry each.
+	// the maps of the request and of the forwarded headers have an entry each. They are upper bounds, with room for garbage.
 	headFactor = 3
 	bodyFactor = 2
 	lineBytes  = 512
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -322,6 +324,39 @@
 
 func (endless) Read(b []byte) (int, error) { return len(b), nil }
 
+// Guards against a parsed head that takes more memory than it is counted with.
+func TestMemoryOfParsedHead(t *testing.T) {
+	is := is.New(t)
+	const heads, size = 50, 16 << 10
+	var head strings.Builder
+	head.WriteString("GET / HTTP/1.1\r\nHost: ledger.example\r\n")
+	for i := int64(0); head.Len() < size-10; i++ {
+		head.WriteString(strconv.FormatInt(i, 36) + ":\r\n")
+	}
+	head.WriteString("\r\n")
+	lines := strings.Count(head.String(), "\n")
+	counted := headFactor*head.Len() + lineBytes*lines
+	var requests []*http.Request
+	before := heapBytes()
+	for range heads {
+		r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(head.String())))
+		is.NoErr(err)
+		requests = append(requests, r)
+	}
+	parsed := (heapBytes() - before) / heads
+	t.Logf("%d bytes in %d lines, parsed %d KiB, counted %d KiB", head.Len(), lines, parsed>>10, counted>>10)
+	is.True(parsed < counted)
+	runtime.KeepAlive(requests)
+}
+
+// heapBytes returns the size of the live heap.
+func heapBytes() int {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int(m.HeapAlloc)
+}
+
 // Guards against a head whose end depends on the pieces in which it arrives.
 func TestHeadScannerIgnoresPieces(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
