review: show that a request to many shards is never refused for long

Cause: of the crashes of a request the newest 32 are kept. One try at a route with more shards leaves more, so that the crashes of earlier incidents are forgotten and the request always looks like one that has crashed servers in a single incident.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-3 ] && [ -x target/arbutusthread ] || exit 2
-exec target/review-3 caller "$folder"
+exec target/review-3 shards "$folder"
--- a/review/testdata/three/deployment.go
+++ b/review/testdata/three/deployment.go
@@ -11,20 +11,22 @@
 	sweepTimeout = 1500 * time.Millisecond
 	findPath     = "/bapu561/"
 	invoicePath  = "/timi402/"
-	shardCount   = 20
-	headerLimit  = 16384
-	bodyLimit    = 262144
+	// shardCount is the number of shards of souches-mu, and grownShardCount that of souches-mu-grown.
+	shardCount      = 20
+	grownShardCount = 90
+	headerLimit     = 16384
+	bodyLimit       = 262144
 )
 
 func shardName(i int) string { return fmt.Sprintf("huvo%02da", i) }
 
 // operatorConfig returns a configuration like that of the deployment souches-mu.
-func operatorConfig(version int) map[string]any {
+func operatorConfig(version, shardCount int, coldPerSecond float64) map[string]any {
 	var shards []string
-	services := []map[string]any{service("kafi81c", 52)}
+	services := []map[string]any{service("kafi81c", 52, coldPerSecond)}
 	for i := range shardCount {
 		shards = append(shards, shardName(i))
-		services = append(services, service(shardName(i), 26))
+		services = append(services, service(shardName(i), 26, coldPerSecond))
 	}
 	return map[string]any{
 		"version": version,
@@ -49,18 +51,18 @@
 	}
 }
 
-func service(name string, connections int) map[string]any {
+func service(name string, connections int, coldPerSecond float64) map[string]any {
 	return map[string]any{
 		"name": name, "health-path": "/healthz", "max-connections": connections, "protocol": "h1", "tls": false,
-		"cold-start-s": 3.0, "cold-per-s": 0.0,
+		"cold-start-s": 3.0, "cold-per-s": coldPerSecond,
 	}
 }
 
 // startDeployment starts the store, the servers and the nodes.
-func (c *caseRun) startDeployment(env ...string) {
+func (c *caseRun) startDeployment() {
 	c.store = startStore()
-	c.store.putJSON("op/config", operatorConfig(7))
-	for i := range shardCount {
+	c.store.putJSON("op/config", operatorConfig(7, c.shards, c.coldPerSecond))
+	for i := range c.shards {
 		for k, zone := range []string{"port-louis", "curepipe"} {
 			c.addServer(startServer(serverID(shardName(i), k), shardName(i), zone, 2, 26, 11*time.Millisecond, 62))
 		}
@@ -68,7 +70,7 @@
 	for k, zone := range []string{"port-louis", "port-louis", "curepipe", "mahebourg"} {
 		c.addServer(startServer(serverID("kafi81c", k), "kafi81c", zone, 6, 52, 90*time.Millisecond, 188))
 	}
-	c.nodes = startNodes(c.dir, c.store.address, env)
+	c.nodes = startNodes(c.dir, c.store.address)
 	// Traffic starts 10 s after the machines do.
 	time.Sleep(time.Until(startedAt.Add(10 * time.Second)))
 	c.log("%d nodes and %d servers run", len(c.nodes), len(c.servers))
--- a/review/testdata/three/fleet.go
+++ b/review/testdata/three/fleet.go
@@ -31,13 +31,11 @@
 	name, zone, ip   string
 	front, directory string
 	ready, control   string
+	peer             string
 	settings         string
 	log              string
 	process          *exec.Cmd
 	ended            chan struct{}
-	state            *os.ProcessState
-	stoppedByTest    bool
-	peakMB           float64
 }
 
 // ports are the same on all machines of a day.
@@ -64,7 +62,7 @@
 }
 
 // startNodes starts the machines of the deployment, each at a loopback address of its own.
-func startNodes(dir, storeAddress string, env []string) []*node {
+func startNodes(dir, storeAddress string) []*node {
 	var nodes []*node
 	var ips []string
 	for _, m := range machines {
@@ -78,6 +76,7 @@
 	for _, n := range nodes {
 		at := func(port int) string { return net.JoinHostPort(n.ip, strconv.Itoa(port)) }
 		n.front, n.ready, n.control, n.directory = at(p.front), at(p.ready), at(p.control), at(p.directory)
+		n.peer = at(p.internal)
 	}
 	seeds := []string{nodes[0].control, nodes[4].control, nodes[7].control}
 	for _, n := range nodes {
@@ -86,7 +85,7 @@
 		must(os.WriteFile(n.settings, []byte(fillTemplate(n, seeds, storeAddress, p, true)), 0o600))
 	}
 	for _, n := range nodes {
-		n.start(env)
+		n.start()
 	}
 	for _, n := range nodes {
 		n.awaitReady()
@@ -95,22 +94,21 @@
 }
 
 // start runs the command of the deploy file with its environment.
-func (n *node) start(env []string) {
+func (n *node) start() {
 	out, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(err)
 	defer out.Close()
 	c := exec.Command("target/arbutusthread", "node")
-	c.Env = append([]string{
+	c.Env = []string{
 		"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "ARBUTUSTHREAD_CONFIG=" + n.settings,
 		"GOGC=50", "ARBUTUSTHREAD_MEMORY_MB=" + strconv.Itoa(memoryMB), "ARBUTUSTHREAD_DESCRIPTORS=" + strconv.Itoa(descriptors),
-	}, env...)
+	}
 	c.Stdout, c.Stderr = out, out
 	must(c.Start())
 	n.process, n.ended = c, make(chan struct{})
 	ended := n.ended
 	go func() {
 		_ = c.Wait()
-		n.state = c.ProcessState
 		close(ended)
 	}()
 }
@@ -125,46 +123,31 @@
 }
 
 func (n *node) awaitReady() {
-	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	last := ""
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end) && n.isRunning(); time.Sleep(50 * time.Millisecond) {
 		r, err := http.Get("http://" + n.ready + "/v1/readyz")
-		if err == nil {
-			r.Body.Close()
-			if r.StatusCode == http.StatusOK {
-				return
-			}
+		if err != nil {
+			last = err.Error()
+			continue
 		}
+		r.Body.Close()
+		if r.StatusCode == http.StatusOK {
+			return
+		}
+		last = r.Status
 	}
-	giveUp("%s is not ready", n.name)
-}
-
-// stop ends the process by its ID.
-func (n *node) kill() {
-	n.stoppedByTest = true
-	if n.process != nil && n.isRunning() {
-		_ = n.process.Process.Kill()
-		<-n.ended
-	}
+	b, _ := os.ReadFile(n.log)
+	giveUp("%s is not ready: %s; its log ends with %s", n.name, last, b[max(0, len(b)-300):])
 }
 
 func (n *node) signal(s syscall.Signal) { must(n.process.Process.Signal(s)) }
 
-// memory returns the resident memory of the process and its peak in MiB, as the kernel reports them.
-func (n *node) memory() (now, peak float64) {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
-	if err != nil {
-		return 0, n.peakMB
-	}
-	field := func(name string) float64 {
-		for line := range strings.Lines(string(b)) {
-			if rest, ok := strings.CutPrefix(line, name+":"); ok {
-				kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-				return kb / 1024
-			}
-		}
-		return 0
-	}
-	n.peakMB = max(n.peakMB, field("VmHWM"))
-	return field("VmRSS"), n.peakMB
+// clearBootstrap makes the settings those of a later start.
+func (n *node) clearBootstrap() {
+	b, err := os.ReadFile(n.settings)
+	must(err)
+	text := strings.Replace(string(b), `"FirstStart": true`, `"FirstStart": false`, 1)
+	must(os.WriteFile(n.settings, []byte(text), 0o600))
 }
 
 var placeholder = regexp.MustCompile(`\{\{([#^/]?)([^}|]+?)(\|json)?\}\}`)
--- a/review/testdata/three/main.go
+++ b/review/testdata/three/main.go
@@ -28,6 +28,11 @@
 	store   *store
 	servers []*server
 	nodes   []*node
+	// shards is the number of shards, and rate the number of ordinary requests a second to each node.
+	shards int
+	rate   int
+	// coldPerSecond is what a cold server tolerates, 0 for no limit.
+	coldPerSecond float64
 
 	mu     sync.Mutex
 	record *os.File
@@ -80,7 +85,7 @@
 }
 
 func main() {
-	current = &caseRun{trouble: os.Getenv("TROUBLE") != "0"}
+	current = &caseRun{trouble: os.Getenv("TROUBLE") != "0", shards: shardCount, rate: ordinaryRate}
 	c := current
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: three CASE FOLDER, in the root of the repository")
--- a/review/testdata/three/poison.go
+++ b/review/testdata/three/poison.go
@@ -5,12 +5,15 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
 func init() {
+	cases["shards"] = (*caseRun).playShards
 	cases["caller"] = (*caseRun).playCaller
 	cases["notes"] = (*caseRun).playNotes
+	cases["herd"] = (*caseRun).playHerd
 }
 
 const (
@@ -91,6 +94,40 @@
 	c.log("answered: attempt %s with %d", id, a.status)
 }
 
+// playShards sends a request that crashes each server that runs it to one node after the other. Its route has as many shards
+// as that of the grown deployment.
+func (c *caseRun) playShards() {
+	const (
+		uri      = sweepPath + "crash-x"
+		duration = 60 * time.Second
+		rate     = 4
+	)
+	c.shards, c.rate = grownShardCount, rate
+	c.startDeployment()
+	k := newCrasher()
+	for _, s := range c.servers {
+		s.behave = func(r *http.Request) {
+			if r.RequestURI == uri {
+				k.run(c, r.Header.Get("X-Attempt-Id"), s)
+				c.crashServer(s)
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+	others := c.startTraffic(func(id string) string { return sweepPath + id })
+	end := time.Now().Add(duration)
+	for i := 0; time.Now().Before(end); i++ {
+		if c.trouble {
+			c.attempt(c.nodes[i%len(c.nodes)], uri, "caller-7")
+		}
+		time.Sleep(attemptPause)
+	}
+	others.stop()
+	if c.trouble {
+		c.judge(k)
+	}
+}
+
 // playCaller lets one caller send a request that crashes each server that runs it. Other callers send requests with the same
 // path and body all the while, which run well.
 func (c *caseRun) playCaller() {
@@ -171,3 +208,57 @@
 	others.stop()
 	c.judge(k)
 }
+
+// playHerd sends a request that crashes each server that runs it to one node after the other. With trouble, all nodes are
+// killed at the same moment, twice.
+func (c *caseRun) playHerd() {
+	const (
+		uri       = sweepPath + "crash-x"
+		duration  = 90 * time.Second
+		firstKill = 25 * time.Second
+		nextKill  = 35 * time.Second
+		kills     = 2
+		downTime  = time.Second
+	)
+	c.startDeployment()
+	k := newCrasher()
+	for _, s := range c.servers {
+		s.behave = func(r *http.Request) {
+			if r.RequestURI == uri {
+				k.run(c, r.Header.Get("X-Attempt-Id"), s)
+				c.crashServer(s)
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+	others := c.startTraffic(func(id string) string { return sweepPath + id })
+	killed := 0
+	for i := 0; time.Since(startedAt) < 10*time.Second+duration; i++ {
+		if c.trouble && killed < kills && time.Since(startedAt) > firstKill+time.Duration(killed)*nextKill {
+			killed++
+			c.restartAll(downTime)
+			time.Sleep(contactTime + time.Second)
+		}
+		c.attempt(c.nodes[i%len(c.nodes)], uri, "caller-7")
+		time.Sleep(attemptPause)
+	}
+	others.stop()
+	c.judge(k)
+}
+
+// restartAll kills all nodes at the same moment and starts them again.
+func (c *caseRun) restartAll(downTime time.Duration) {
+	for _, n := range c.nodes {
+		n.signal(syscall.SIGKILL)
+	}
+	c.log("all nodes are killed")
+	for _, n := range c.nodes {
+		<-n.ended
+		n.clearBootstrap()
+	}
+	time.Sleep(downTime)
+	for _, n := range c.nodes {
+		n.start()
+	}
+	c.log("all nodes are started again")
+}
--- a/review/testdata/three/server.go
+++ b/review/testdata/three/server.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -35,6 +36,9 @@
 	limit    int
 	// down is set while the server has crashed.
 	down bool
+	// coldUntil is the end of a cold start, and arrivals holds the times of the requests since its beginning.
+	coldUntil time.Time
+	arrivals  []time.Time
 }
 
 const serverQueue = 24
@@ -73,7 +77,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.address, s.born = l.Addr().String(), time.Now()
-	s.listener = &cappedListener{Listener: l, limit: int64(s.limit), conns: make(map[*countedConn]bool)}
+	s.listener = &cappedListener{
+		TCPListener: l.(*net.TCPListener), limit: int64(s.limit), conns: make(map[*countedConn]bool),
+		dark: make(chan struct{}), woken: make(chan struct{}),
+	}
 	h := &http.Server{Handler: s, IdleTimeout: 30 * time.Second, ErrorLog: log.New(io.Discard, "", 0)}
 	go func(l *cappedListener) { _ = h.Serve(l) }(s.listener)
 }
@@ -88,11 +95,29 @@
 	l.reset()
 }
 
+// goDark makes the machine of the server lose power.
+func (s *server) goDark() { s.listener.goDark() }
+
+// returnCold starts a process of the server after goDark. It is cold for coldTime.
+func (s *server) returnCold() {
+	s.listener.wake()
+	s.boot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.coldUntil = s.born.Add(coldTime)
+	s.arrivals = nil
+}
+
+const (
+	coldTime   = 3 * time.Second
+	coldFactor = 1.6
+)
+
 // entry is what the server writes of itself to the store.
 func (s *server) entry(state string) map[string]any {
 	return map[string]any{
 		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots, "state": state,
-		"cold-remaining-ms": 0, "sequence": 1, "born": s.born.UnixMilli(),
+		"cold-remaining-ms": max(0, time.Until(s.coldUntil).Milliseconds()), "sequence": 1, "born": s.born.UnixMilli(),
 	}
 }
 
@@ -114,6 +139,7 @@
 	if s.behave != nil {
 		s.behave(r)
 	}
+	work := s.arrive(time.Now())
 	if s.queued.Add(1) > int64(s.slots+serverQueue) {
 		s.queued.Add(-1)
 		w.Header().Set("X-Not-Executed", "1")
@@ -128,13 +154,41 @@
 	}
 	defer func() { <-s.permits }()
 	select {
-	case <-time.After(s.work):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
 	s.answer(w, id)
 }
 
+// arrive records the arrival of a request at a cold server, and returns how long it works on a request.
+func (s *server) arrive(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !now.Before(s.coldUntil) {
+		return s.work
+	}
+	s.arrivals = append(s.arrivals, now)
+	return time.Duration(coldFactor * float64(s.work))
+}
+
+// mostArrivals returns the largest number of requests that arrived at the cold server within a second, and the beginning of
+// that second after its start.
+func (s *server) mostArrivals() (most int, begin time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	first := 0
+	for i, at := range s.arrivals {
+		for at.Sub(s.arrivals[first]) >= time.Second {
+			first++
+		}
+		if n := i - first + 1; n > most {
+			most, begin = n, s.arrivals[first].Sub(s.born)
+		}
+	}
+	return most, begin
+}
+
 func (s *server) answer(w http.ResponseWriter, id string) {
 	w.Header().Set("X-Server-Seal", s.id+"."+id)
 	b := make([]byte, 16*s.records)
@@ -145,36 +199,41 @@
 	_, _ = w.Write(b)
 }
 
-// cappedListener resets connections beyond a limit.
+// cappedListener resets connections beyond a limit. It can go silent, as when the machine of the server loses power.
 type cappedListener struct {
-	net.Listener
+	*net.TCPListener
 	limit int64
 
 	mu    sync.Mutex
 	conns map[*countedConn]bool
+	// dark is closed when the machine loses power, and woken when it has power again.
+	dark, woken chan struct{}
 }
 
 func (l *cappedListener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		c, err := l.AcceptTCP()
 		if err != nil {
 			return nil, err
 		}
+		if isClosed(l.dark) {
+			<-l.woken
+		}
 		if k := l.add(c); k != nil {
 			return k, nil
 		}
-		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.SetLinger(0)
 		c.Close()
 	}
 }
 
-func (l *cappedListener) add(c net.Conn) *countedConn {
+func (l *cappedListener) add(c *net.TCPConn) *countedConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if int64(len(l.conns)) >= l.limit {
+	if int64(len(l.conns)) >= l.limit || isClosed(l.woken) {
 		return nil
 	}
-	k := &countedConn{Conn: c, list: l}
+	k := &countedConn{TCPConn: c, list: l}
 	l.conns[k] = true
 	return k
 }
@@ -185,21 +244,95 @@
 	open := slices.Collect(maps.Keys(l.conns))
 	l.mu.Unlock()
 	for _, k := range open {
-		_ = k.Conn.(*net.TCPConn).SetLinger(0)
-		k.Close()
+		k.reset()
+	}
+}
+
+// goDark makes the address silent: packets of new connections are dropped once the queue of the listener is full.
+func (l *cappedListener) goDark() {
+	close(l.dark)
+	raw, err := l.SyscallConn()
+	must(err)
+	must(raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), 0) }))
+	for range 4 {
+		go func() {
+			if c, err := net.DialTimeout("tcp", l.Addr().String(), 200*time.Millisecond); err == nil {
+				<-l.woken
+				c.Close()
+			}
+		}()
+	}
+}
+
+// wake ends the silence. Connections on which something has been sent meanwhile are reset, and the others when something
+// is sent on them: the machine knows none of them.
+func (l *cappedListener) wake() {
+	l.mu.Lock()
+	close(l.woken)
+	open := slices.Collect(maps.Keys(l.conns))
+	l.mu.Unlock()
+	l.Close()
+	for _, k := range open {
+		if k.used.Load() {
+			k.reset()
+		}
 	}
 }
 
+// countedConn is a connection of a cappedListener.
 type countedConn struct {
-	net.Conn
+	*net.TCPConn
 	list *cappedListener
+	// used is set if something was to be sent on the connection while the machine had no power.
+	used atomic.Bool
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if isClosed(c.list.dark) {
+		return 0, c.endDark()
+	}
+	return n, err
 }
 
+func (c *countedConn) Write(b []byte) (int, error) {
+	if isClosed(c.list.dark) {
+		return 0, c.endDark()
+	}
+	return c.TCPConn.Write(b)
+}
+
+// endDark waits until the machine has power again, resets the connection and returns an error.
+func (c *countedConn) endDark() error {
+	c.used.Store(true)
+	<-c.list.woken
+	c.reset()
+	return net.ErrClosed
+}
+
+func (c *countedConn) reset() {
+	_ = c.SetLinger(0)
+	c.Close()
+}
+
+// Close closes the connection. The process cannot do that while its machine has no power.
 func (c *countedConn) Close() error {
+	if isClosed(c.list.dark) {
+		<-c.list.woken
+	}
 	c.list.mu.Lock()
 	delete(c.list.conns, c)
 	c.list.mu.Unlock()
-	return c.Conn.Close()
+	return c.TCPConn.Close()
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
 }
 
 func serverID(service string, n int) string { return fmt.Sprintf("i-%s-%d", service, n) }
--- a/review/testdata/three/traffic.go
+++ b/review/testdata/three/traffic.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// ordinaryRate is the number of ordinary requests a second to each node.
+// ordinaryRate is the usual number of ordinary requests a second to each node.
 const ordinaryRate = 12
 
 // traffic is the ordinary traffic of sound callers to all nodes.
@@ -30,7 +30,7 @@
 }
 
 func (t *traffic) send(n *node, caller string, uri func(id string) string) {
-	ticker := time.NewTicker(time.Second / ordinaryRate)
+	ticker := time.NewTicker(time.Second / time.Duration(t.run.rate))
 	defer ticker.Stop()
 	for {
 		select {
